--- /dev/null
+++ b/cmd/primrosebeam/main.go
@@ -0,0 +1,12 @@
+// Command primrosebeam runs and operates instances of the request scheduler.
+package main
+
+import (
+	"os"
+
+	"github.com/primrosebeam/primrosebeam/internal/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/label/label.go
@@ -0,0 +1,159 @@
+// Package label provides label sets and the selectors that match them.
+package label
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Bounds on a label set.
+const (
+	MaxLabels    = 16 // labels in one set
+	MaxPartBytes = 64 // bytes in one key or value
+)
+
+// Set maps label keys to values.
+type Set map[string]string
+
+// Reason tells why a label text was refused.
+type Reason string
+
+// Reasons for which a label or selector is refused.
+const (
+	ReasonTooMany   Reason = "too many labels"
+	ReasonTooLong   Reason = "key or value too long"
+	ReasonBadKey    Reason = "invalid key"
+	ReasonBadValue  Reason = "invalid value"
+	ReasonDuplicate Reason = "duplicate key"
+	ReasonSyntax    Reason = "syntax error"
+)
+
+// SyntaxError reports a malformed label list or selector.
+type SyntaxError struct {
+	Text   string // the part that was refused
+	Offset int    // bytes from the start of the input
+	Reason Reason
+}
+
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("label: %s at byte %d: %q", e.Reason, e.Offset, e.Text)
+}
+
+// ParseSet reads "key=value,key=value". An empty text is an empty set. It returns *SyntaxError.
+func ParseSet(text string) (Set, error) {
+	set := Set{}
+	if strings.TrimSpace(text) == "" {
+		return set, nil
+	}
+	offset := 0
+	for part := range strings.SplitSeq(text, ",") {
+		key, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found {
+			return nil, &SyntaxError{Text: part, Offset: offset, Reason: ReasonSyntax}
+		}
+		if _, exists := set[key]; exists {
+			return nil, &SyntaxError{Text: key, Offset: offset, Reason: ReasonDuplicate}
+		}
+		if reason := checkPair(key, value); reason != "" {
+			return nil, &SyntaxError{Text: part, Offset: offset, Reason: reason}
+		}
+		set[key] = value
+		if len(set) > MaxLabels {
+			return nil, &SyntaxError{Text: part, Offset: offset, Reason: ReasonTooMany}
+		}
+		offset += len(part) + 1
+	}
+	return set, nil
+}
+
+// Check reports whether every key and value of s is within bounds. It returns *SyntaxError.
+func (s Set) Check() error {
+	if len(s) > MaxLabels {
+		return &SyntaxError{Reason: ReasonTooMany}
+	}
+	for key, value := range s {
+		if reason := checkPair(key, value); reason != "" {
+			return &SyntaxError{Text: key + "=" + value, Reason: reason}
+		}
+	}
+	return nil
+}
+
+func checkPair(key, value string) Reason {
+	switch {
+	case len(key) > MaxPartBytes || len(value) > MaxPartBytes:
+		return ReasonTooLong
+	case !validKey(key):
+		return ReasonBadKey
+	case !validValue(value):
+		return ReasonBadValue
+	}
+	return ""
+}
+
+func validKey(key string) bool {
+	return key != "" && key != "in" && key != "notin" && validValue(key)
+}
+
+func validValue(value string) bool {
+	for _, c := range []byte(value) {
+		if !wordByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func wordByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' ||
+		c == '-' || c == '_' || c == '.' || c == '/'
+}
+
+type operator int
+
+const (
+	opIn operator = iota
+	opNotIn
+	opExists
+	opAbsent
+)
+
+type requirement struct {
+	key    string
+	op     operator
+	values []string
+}
+
+func (r requirement) matches(labels Set) bool {
+	value, exists := labels[r.key]
+	switch r.op {
+	case opIn:
+		return exists && slices.Contains(r.values, value)
+	case opNotIn:
+		return !exists || !slices.Contains(r.values, value)
+	case opExists:
+		return exists
+	default:
+		return !exists
+	}
+}
+
+// Selector is a conjunction of requirements on labels. The zero value matches everything.
+type Selector struct {
+	requirements []requirement
+	text         string
+}
+
+// Matches reports whether labels fulfil every requirement.
+func (s Selector) Matches(labels Set) bool {
+	for _, r := range s.requirements {
+		if !r.matches(labels) {
+			return false
+		}
+	}
+	return true
+}
+
+// String returns the text that the selector was parsed from.
+func (s Selector) String() string { return s.text }
--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,35 @@
+package ring_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/ring"
+)
+
+// Guards against a full ring that blocks or overwrites, and against lost order after wrap-around.
+func TestRingIsBoundedAndOrdered(t *testing.T) {
+	is := is.New(t)
+	r := ring.New[int](2)
+	is.NoErr(r.Offer(1))
+	is.NoErr(r.Offer(2))
+	var full *ring.FullError
+	is.True(errors.As(r.Offer(3), &full))
+	first, err := r.Take(context.Background())
+	is.NoErr(err)
+	is.Equal(first, 1)
+	is.NoErr(r.Offer(3))
+	r.Close()
+	var closed *ring.ClosedError
+	is.True(errors.As(r.Offer(4), &closed))
+	for _, want := range []int{2, 3} {
+		got, err := r.Take(context.Background())
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	_, err = r.Take(context.Background())
+	is.True(errors.As(err, &closed))
+}
--- /dev/null
+++ b/strictjson/strictjson.go
@@ -0,0 +1,277 @@
+// Package strictjson decodes JSON with comments into Go structs and reports every
+// unknown field, duplicate field and wrong type at once, each with its line.
+package strictjson
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Reason is the kind of a fault.
+type Reason string
+
+// Reasons that this package reports; callers add their own.
+const (
+	ReasonSyntax    Reason = "syntax error"
+	ReasonUnknown   Reason = "unknown field"
+	ReasonDuplicate Reason = "duplicate field"
+	ReasonType      Reason = "wrong type"
+)
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Line   int    `json:"line"`  // counted from 1
+	Field  string `json:"field"` // path such as "tiers[0].name"; empty for the whole document
+	Reason Reason `json:"reason"`
+	Detail string `json:"detail,omitempty"`
+}
+
+func (f Fault) String() string {
+	text := fmt.Sprintf("line %d: %s: %s", f.Line, f.Field, f.Reason)
+	if f.Detail != "" {
+		text += ": " + f.Detail
+	}
+	return text
+}
+
+// FaultsError lists every fault of a document, in the order of its lines.
+type FaultsError struct {
+	Faults []Fault
+}
+
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a decoded document that knows on which line each field stands.
+type Document struct {
+	source  []byte
+	offsets map[string]int
+	faults  []Fault
+}
+
+// Decode reads data into the struct that into points to. Structural faults are kept in the
+// document and returned by Err, together with those that the caller adds.
+func Decode(data []byte, into any) *Document {
+	d := &Document{source: data, offsets: map[string]int{}}
+	value, err := hujson.Parse(data)
+	if err != nil {
+		d.faults = append(d.faults, Fault{Line: errorLine(err), Reason: ReasonSyntax, Detail: err.Error()})
+		return d
+	}
+	d.check(&value, reflect.TypeOf(into).Elem(), "")
+	if len(d.faults) > 0 {
+		return d
+	}
+	value.Standardize()
+	if err := json.Unmarshal(value.Pack(), into); err != nil {
+		d.faults = append(d.faults, Fault{Line: 1, Reason: ReasonType, Detail: err.Error()})
+	}
+	return d
+}
+
+// Add records a fault at a field. The line is that of the field or of its closest enclosing field.
+func (d *Document) Add(field string, reason Reason, detail string) {
+	d.faults = append(d.faults, Fault{Line: d.line(field), Field: field, Reason: reason, Detail: detail})
+}
+
+// Valid reports whether no fault was found so far.
+func (d *Document) Valid() bool { return len(d.faults) == 0 }
+
+// Err returns *FaultsError when there is any fault.
+func (d *Document) Err() error {
+	if d.Valid() {
+		return nil
+	}
+	return &FaultsError{Faults: d.faults}
+}
+
+func (d *Document) line(field string) int {
+	for field != "" {
+		if offset, found := d.offsets[field]; found {
+			return d.lineAt(offset)
+		}
+		cut := strings.LastIndexAny(field, ".[")
+		if cut < 0 {
+			break
+		}
+		field = field[:cut]
+	}
+	return 1
+}
+
+func (d *Document) lineAt(offset int) int {
+	return 1 + bytes.Count(d.source[:min(offset, len(d.source))], []byte{'\n'})
+}
+
+func errorLine(err error) int {
+	var line, column int
+	text := err.Error()
+	if at := strings.Index(text, "line "); at >= 0 {
+		if _, scanErr := fmt.Sscanf(text[at:], "line %d, column %d", &line, &column); scanErr == nil {
+			return line
+		}
+	}
+	return 1
+}
+
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (d *Document) check(v *hujson.Value, t reflect.Type, path string) {
+	d.offsets[path] = v.StartOffset
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if reflect.PointerTo(t).Implements(textUnmarshaler) {
+		d.checkScalar(v, t, path)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		d.checkStruct(v, t, path)
+	case reflect.Map:
+		d.checkMap(v, t, path)
+	case reflect.Slice:
+		d.checkSlice(v, t, path)
+	default:
+		d.checkScalar(v, t, path)
+	}
+}
+
+func (d *Document) checkStruct(v *hujson.Value, t reflect.Type, path string) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.Add(path, ReasonType, "want an object")
+		return
+	}
+	fields := structFields(t)
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		child := join(path, name)
+		d.offsets[child] = member.Name.StartOffset
+		field, known := fields[name]
+		switch {
+		case !known:
+			d.Add(child, ReasonUnknown, "")
+		case seen[name]:
+			d.Add(child, ReasonDuplicate, "")
+		default:
+			d.check(&member.Value, field, child)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *Document) checkMap(v *hujson.Value, t reflect.Type, path string) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.Add(path, ReasonType, "want an object")
+		return
+	}
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		child := join(path, name)
+		if seen[name] {
+			d.offsets[child] = member.Name.StartOffset
+			d.Add(child, ReasonDuplicate, "")
+		}
+		seen[name] = true
+		d.check(&member.Value, t.Elem(), child)
+	}
+}
+
+func (d *Document) checkSlice(v *hujson.Value, t reflect.Type, path string) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.Add(path, ReasonType, "want an array")
+		return
+	}
+	for i := range array.Elements {
+		d.check(&array.Elements[i], t.Elem(), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *Document) checkScalar(v *hujson.Value, t reflect.Type, path string) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok {
+		d.Add(path, ReasonType, "want a "+scalarName(t))
+		return
+	}
+	if literal.Kind() == 'n' {
+		d.Add(path, ReasonType, "null is not allowed")
+		return
+	}
+	if err := json.Unmarshal(literal, reflect.New(t).Interface()); err != nil {
+		d.Add(path, ReasonType, "want a "+scalarName(t))
+	}
+}
+
+func scalarName(t reflect.Type) string {
+	if t == reflect.TypeFor[Duration]() {
+		return `duration such as "500ms"`
+	}
+	switch t.Kind() {
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Float32, reflect.Float64:
+		return "number"
+	default:
+		return "whole number"
+	}
+}
+
+func structFields(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = t.Field(i).Type
+		}
+	}
+	return fields
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// Duration is a time.Duration written as text, for example "500ms".
+type Duration time.Duration
+
+// UnmarshalText reads a duration in the syntax of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("strictjson: duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText writes the duration in the syntax of time.Duration.String.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
