Add the whole request path as separate processes

Change: settings, the scheduler's duty, the client towards engines, the callers' handler, stand-in engines, the run command, and tests with three instances and two stand-ins as separate processes.

--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,350 @@
+package e2e
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+)
+
+const startTimeout = 15 * time.Second // generous: the race detector and a busy machine slow down the start
+
+// process is one child process of the test.
+type process struct {
+	t       *testing.T
+	name    string
+	role    string
+	args    []string
+	command *exec.Cmd
+	exited  chan struct{}
+	output  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func startProcess(t *testing.T, name, role string, args ...string) *process {
+	p := &process{t: t, name: name, role: role, args: args, output: &lockedBuffer{}}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", p.name, tail(p.output.String(), 6000))
+		}
+	})
+	p.start()
+	return p
+}
+
+func tail(text string, n int) string { return text[max(0, len(text)-n):] }
+
+func (p *process) start() {
+	p.t.Helper()
+	p.command = exec.Command(os.Args[0], p.args...)
+	p.command.Env = append(os.Environ(), environmentRole+"="+p.role)
+	p.command.Stdout = p.output
+	p.command.Stderr = p.output
+	if err := p.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		_ = command.Wait()
+		close(exited)
+	}(p.command, p.exited)
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+func (p *process) kill() {
+	select {
+	case <-p.exited:
+		return
+	default:
+	}
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+// waitExit returns the exit code.
+func (p *process) waitExit(timeout time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		return p.command.ProcessState.ExitCode()
+	case <-time.After(timeout):
+		p.t.Fatalf("%s did not exit in %s", p.name, timeout)
+		return -1
+	}
+}
+
+// member is one instance of a cluster.
+type member struct {
+	*process
+	name      string
+	centre    string
+	callers   string
+	operators string
+	instances string
+	roles     []string
+}
+
+// engine is one stand-in engine of a cluster.
+type engine struct {
+	*process
+	name    string
+	kind    string
+	address string
+}
+
+// cluster is a set of processes with one configuration.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	members []*member
+	engines []*engine
+}
+
+const (
+	operatorToken = "operator-token-of-the-tests"
+	smallToken    = "token-small"
+	largeToken    = "token-large"
+)
+
+type clusterOptions struct {
+	members  int
+	models   int
+	plains   int
+	control  int // members with the control role
+	ledgers  int // members with the ledger role
+	interval time.Duration
+}
+
+var centres = []string{"bern", "olten", "aarau"}
+
+func startCluster(t *testing.T, o clusterOptions) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir()}
+	for n := range o.models {
+		c.startEngine(fmt.Sprintf("model-%d", n), "model", o.interval)
+	}
+	for n := range o.plains {
+		c.startEngine(fmt.Sprintf("plain-%d", n), "plain", o.interval)
+	}
+	for n := range o.members {
+		m := &member{name: fmt.Sprintf("instance-%d", n), centre: centres[n%len(centres)], roles: []string{}}
+		m.callers, m.operators, m.instances = freeAddress(t), freeAddress(t), freeAddress(t)
+		if n < o.control {
+			m.roles = append(m.roles, "control")
+		}
+		if n < o.ledgers {
+			m.roles = append(m.roles, "ledger")
+		}
+		c.members = append(c.members, m)
+	}
+	c.writeFile("operator.token", operatorToken)
+	c.writeFile("shared.key", "shared-key-of-the-tests")
+	c.writeFile("configuration.jsonc", c.configuration())
+	for _, m := range c.members {
+		path := c.writeFile(m.name+".jsonc", c.settings(m))
+		m.process = startProcess(t, m.name, "primrosebeam", "run", "-settings", path)
+	}
+	for _, m := range c.members {
+		c.waitReady(m)
+	}
+	return c
+}
+
+func (c *cluster) startEngine(name, kind string, interval time.Duration) {
+	e := &engine{name: name, kind: kind, address: freeAddress(c.t)}
+	e.process = startProcess(c.t, name, "standin", "-kind", kind, "-address", e.address, "-interval", interval.String())
+	c.engines = append(c.engines, e)
+	waitFor(c.t, "engine "+name, func() bool {
+		response, err := http.Get("http://" + e.address + "/metrics")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return true
+	})
+}
+
+func (c *cluster) waitReady(m *member) {
+	c.t.Helper()
+	waitFor(c.t, "instance "+m.name, func() bool {
+		response, err := http.Get("http://" + m.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func waitFor(t *testing.T, what string, ready func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(startTimeout)
+	for !ready() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) writeFile(name, text string) string {
+	c.t.Helper()
+	path := filepath.Join(c.folder, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+func toJSON(v any) string {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func (c *cluster) settings(m *member) string {
+	peers := []map[string]any{}
+	for _, other := range c.members {
+		if other != m {
+			peers = append(peers, map[string]any{
+				"name": other.name, "dataCentre": other.centre, "address": other.instances, "roles": other.roles,
+			})
+		}
+	}
+	return "// Settings of " + m.name + "\n" + toJSON(map[string]any{
+		"name": m.name, "dataCentre": m.centre, "roles": m.roles, "peers": peers,
+		"listen":     map[string]string{"callers": m.callers, "operators": m.operators, "instances": m.instances},
+		"dataFolder": m.name, "sharedKeyFile": "shared.key", "operatorTokenFile": "operator.token",
+		"initialConfiguration": "configuration.jsonc",
+	})
+}
+
+func (c *cluster) configuration() string {
+	var engines []map[string]any
+	for n, e := range c.engines {
+		engines = append(engines, map[string]any{
+			"name": e.name, "url": "http://" + e.address, "dataCentre": centres[n%len(centres)],
+			"labels": map[string]string{"kind": e.kind},
+		})
+	}
+	var services []map[string]any
+	if c.has("model") {
+		services = append(services, map[string]any{
+			"name": "chat", "kind": "model", "engines": "kind=model",
+			"routes": []any{map[string]any{"path": "/v1/chat/completions", "methods": []string{"POST"}}},
+		})
+	}
+	if c.has("plain") {
+		services = append(services, map[string]any{
+			"name": "orders", "kind": "plain", "engines": "kind=plain",
+			"routes": []any{map[string]any{"path": "/orders"}, map[string]any{"path": "/status/"}},
+		})
+	}
+	return toJSON(map[string]any{
+		"tiers": []any{
+			map[string]any{"name": "urgent", "queueLimit": 1000, "firstToken": "420ms", "betweenTokens": "52ms", "deadline": "30s"},
+			map[string]any{"name": "normal", "queueLimit": 1000, "deadline": "60s"},
+			map[string]any{"name": "batch", "queueLimit": 1000, "deadline": "120s"},
+		},
+		"tierRules": []any{
+			map[string]any{"when": "route=/orders", "tier": "urgent"},
+			map[string]any{"when": "work=report", "tier": "batch"},
+			map[string]any{"when": "", "tier": "normal"},
+		},
+		"workspaces": []any{
+			map[string]any{"name": "small", "tokenSHA256": []string{hash(smallToken)}},
+			map[string]any{"name": "large", "tokenSHA256": []string{hash(largeToken)}},
+		},
+		"services": services,
+		"engines":  engines,
+	})
+}
+
+func (c *cluster) has(kind string) bool {
+	for _, e := range c.engines {
+		if e.kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// steer sends a control request to a stand-in.
+func (e *engine) steer(path string, body any) {
+	e.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+e.address+path, bytes.NewReader([]byte(toJSON(body))))
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	response.Body.Close()
+}
+
+// counts returns what a stand-in carried out.
+func (e *engine) counts() standin.Counts {
+	e.t.Helper()
+	response, err := http.Get("http://" + e.address + standin.PathCounts)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var counts standin.Counts
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		e.t.Fatal(err)
+	}
+	return counts
+}
--- /dev/null
+++ b/instance/listener.go
@@ -0,0 +1,54 @@
+package instance
+
+import (
+	"net"
+	"sync"
+)
+
+// limitedListener bounds the connections that are open at once; further ones wait in the kernel's queue.
+type limitedListener struct {
+	net.Listener
+	slots     chan struct{}
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newLimitedListener(l net.Listener, limit int) net.Listener {
+	if limit <= 0 {
+		return l
+	}
+	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: connection, release: func() { <-l.slots }}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,109 @@
+// Package entry serves callers: it authenticates and classifies their requests, waits for the
+// scheduler's decision, and relays the engine's answer.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/dispatch"
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+)
+
+// maxAttempt bounds the work on one request after dispatch, so that a silent engine cannot hold it for ever.
+const maxAttempt = 10 * time.Minute
+
+// Options configures a Handler.
+type Options struct {
+	DataCentre  string
+	Dispatch    *dispatch.Duty
+	Upstream    *upstream.Client
+	Logger      zerolog.Logger
+	Metrics     *metrics.Set
+	BodyBytes   int // largest request body
+	AnswerBytes int // answers up to this size are held until whole
+	// OnLeaving is called when an engine's answer says that it takes no more work; it must not block.
+	OnLeaving func(engine string)
+}
+
+// Handler is the callers' HTTP handler. It is safe for concurrent use.
+type Handler struct {
+	options  Options
+	view     atomic.Pointer[view]
+	stopping atomic.Bool
+	detached sync.WaitGroup // requests that go on without their caller
+}
+
+// New returns a handler that is not ready until Configure.
+func New(o Options) *Handler { return &Handler{options: o} }
+
+// Configure puts a configuration in force for requests that arrive from now on.
+func (h *Handler) Configure(version configuration.Version, document *configuration.Document) {
+	h.view.Store(newView(version, document))
+}
+
+// Ready reports whether requests are admitted.
+func (h *Handler) Ready() bool { return h.view.Load() != nil && !h.stopping.Load() }
+
+// Stop refuses new requests; those that were admitted go on.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// Wait returns once every request that goes on without its caller has ended, or with the context's error.
+func (h *Handler) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		h.detached.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/healthz":
+		w.WriteHeader(http.StatusOK)
+	case "/readyz":
+		h.serveReady(w)
+	default:
+		h.serveRequest(w, r)
+	}
+}
+
+func (h *Handler) serveReady(w http.ResponseWriter) {
+	if !h.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	x := &exchange{handler: h, id: newRequestID(), writer: w, incoming: r}
+	problem := x.classify()
+	if problem == nil {
+		problem = x.run()
+	}
+	if problem != nil {
+		x.outcome = problem.Outcome
+		writeProblem(w, x.id, problem)
+	}
+	x.record(time.Since(started), problem)
+	if x.abort {
+		// The connection ends without a clean end of the body, so that a partial answer never looks whole.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/model.go
@@ -0,0 +1,335 @@
+// Package standin holds small stand-ins for engines, used by the demo and by tests.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults switches on misbehaviour of a stand-in. Counters hold how many requests are affected.
+type Faults struct {
+	CutAfterEvents int           // breaks each stream's connection after so many events; 0 means never
+	NoResume       bool          // refuses to resume streams
+	WrongID        bool          // answers under another request ID
+	IgnoreCancel   bool          // goes on with cancelled requests
+	Fail           bool          // answers 500 at once
+	Delay          time.Duration // before the first byte of each answer
+	CutAnswer      bool          // breaks plain answers in the middle
+}
+
+// ModelOptions configures a Model.
+type ModelOptions struct {
+	Name          string
+	TokenInterval time.Duration // between two tokens of a stream
+	PrefillRate   int           // prompt bytes per millisecond; 0 means at once
+}
+
+// Model is a stand-in for a model engine with an OpenAI-compatible interface, resumable streams,
+// cancel, load metrics and cache events.
+type Model struct {
+	options ModelOptions
+
+	mu       sync.Mutex
+	faults   Faults
+	leaving  bool
+	runs     map[string]int
+	streams  map[string]*generation
+	running  int
+	finished int
+}
+
+// generation is one request that the engine works on; it goes on when the connection breaks.
+type generation struct {
+	id      string
+	mu      sync.Mutex
+	events  []string
+	done    bool
+	changed chan struct{}
+	cancel  context.CancelFunc
+}
+
+// NewModel returns a model engine.
+func NewModel(o ModelOptions) *Model {
+	return &Model{options: o, runs: map[string]int{}, streams: map[string]*generation{}}
+}
+
+// SetFaults replaces the faults in force.
+func (m *Model) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+}
+
+// SetLeaving makes the engine announce that it takes no more work.
+func (m *Model) SetLeaving(leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = leaving
+}
+
+// Runs returns how often each request ID was started.
+func (m *Model) Runs() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	runs := make(map[string]int, len(m.runs))
+	for id, n := range m.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Model) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/chat/completions" && r.Method == http.MethodPost:
+		m.serveCompletion(w, r)
+	case strings.HasPrefix(r.URL.Path, "/v1/requests/"):
+		m.serveRequest(w, r, strings.TrimPrefix(r.URL.Path, "/v1/requests/"))
+	case r.URL.Path == "/metrics":
+		m.serveMetrics(w)
+	case r.URL.Path == "/v1/lifecycle":
+		m.serveLifecycle(w)
+	case r.URL.Path == "/v1/cache-events":
+		writeJSON(w, http.StatusOK, map[string]any{"first": 1, "changes": []any{}})
+	default:
+		writeJSON(w, http.StatusNotFound, map[string]string{"error": "not found"})
+	}
+}
+
+type completionRequest struct {
+	Stream    bool `json:"stream"`
+	MaxTokens int  `json:"max_tokens"`
+	Messages  []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (m *Model) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var request completionRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "malformed JSON"})
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	faults := m.start(id)
+	if faults.Fail {
+		writeJSON(w, http.StatusInternalServerError, map[string]string{"error": "engine failed"})
+		return
+	}
+	prompt := 0
+	for _, message := range request.Messages {
+		prompt += len(message.Content)
+	}
+	g := m.generate(id, max(1, request.MaxTokens), prompt)
+	if faults.WrongID {
+		id += "-other"
+	}
+	w.Header().Set("X-Request-Id", id)
+	if request.Stream {
+		m.stream(w, r, g, 0)
+		return
+	}
+	if !g.wait(r.Context()) {
+		if !faults.IgnoreCancel {
+			g.cancel()
+		}
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{
+		"id":      g.id,
+		"choices": []any{map[string]any{"message": map[string]string{"role": "assistant", "content": g.text()}}},
+		"usage":   map[string]int{"prompt_tokens": prompt / 4, "completion_tokens": max(1, request.MaxTokens)},
+	})
+}
+
+func (m *Model) start(id string) Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs[id]++
+	return m.faults
+}
+
+// generate produces the events of a request in the background, as an engine with batching does.
+func (m *Model) generate(id string, tokens, promptBytes int) *generation {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &generation{id: id, changed: make(chan struct{}), cancel: cancel}
+	m.mu.Lock()
+	m.streams[id] = g
+	m.running++
+	delay := m.faults.Delay
+	m.mu.Unlock()
+	if m.options.PrefillRate > 0 {
+		delay += time.Duration(promptBytes/m.options.PrefillRate) * time.Millisecond
+	}
+	go func() {
+		defer cancel()
+		defer m.ended()
+		if !sleep(ctx, delay) {
+			g.add("", true)
+			return
+		}
+		for n := range tokens {
+			g.add(Token(id, n), false)
+			if !sleep(ctx, m.options.TokenInterval) {
+				g.add("", true)
+				return
+			}
+		}
+		g.add("[DONE]", true)
+	}()
+	return g
+}
+
+func (m *Model) ended() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+	m.finished++
+}
+
+// Token returns token number n of the answer to request id, so that a caller can check that the answer is its own.
+func Token(id string, n int) string { return fmt.Sprintf("%s-%d ", id, n) }
+
+func (m *Model) stream(w http.ResponseWriter, r *http.Request, g *generation, next int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	sent := 0
+	for {
+		events, done, changed := g.from(next)
+		for _, event := range events {
+			fmt.Fprint(w, formatEvent(g.id, next, event))
+			next++
+			sent++
+			m.mu.Lock()
+			cut := m.faults.CutAfterEvents
+			m.mu.Unlock()
+			if cut > 0 && sent >= cut {
+				_ = controller.Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		_ = controller.Flush()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func formatEvent(id string, number int, data string) string {
+	if data != "[DONE]" {
+		chunk, _ := json.Marshal(map[string]any{
+			"id":      id,
+			"choices": []any{map[string]any{"delta": map[string]string{"content": data}}},
+		})
+		data = string(chunk)
+	}
+	return fmt.Sprintf("id: %s:%d\ndata: %s\n\n", id, number, data)
+}
+
+func (m *Model) serveRequest(w http.ResponseWriter, r *http.Request, id string) {
+	m.mu.Lock()
+	g, known := m.streams[id]
+	faults := m.faults
+	m.mu.Unlock()
+	if !known || faults.NoResume && r.Method == http.MethodGet {
+		writeJSON(w, http.StatusNotFound, map[string]string{"error": "unknown request"})
+		return
+	}
+	if r.Method == http.MethodDelete {
+		if !faults.IgnoreCancel {
+			g.cancel()
+		}
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	next := 0
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		if _, err := fmt.Sscanf(last[strings.LastIndexByte(last, ':')+1:], "%d", &next); err == nil {
+			next++
+		}
+	}
+	w.Header().Set("X-Request-Id", id)
+	m.stream(w, r, g, next)
+}
+
+func (m *Model) serveMetrics(w http.ResponseWriter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fmt.Fprintf(w, "engine_num_requests_running %d\nengine_num_requests_waiting 0\nengine_cache_usage_perc 0\n", m.running)
+}
+
+func (m *Model) serveLifecycle(w http.ResponseWriter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"incarnation": 1, "leaving": m.leaving})
+}
+
+func (g *generation) add(event string, done bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if event != "" {
+		g.events = append(g.events, event)
+	}
+	g.done = done
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *generation) from(next int) (events []string, done bool, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if next < len(g.events) {
+		events = g.events[next:]
+	}
+	return events, g.done, g.changed
+}
+
+func (g *generation) wait(ctx context.Context) bool {
+	for {
+		_, done, changed := g.from(0)
+		if done {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (g *generation) text() string {
+	events, _, _ := g.from(0)
+	return strings.TrimSuffix(strings.Join(events, ""), "[DONE]")
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,159 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Header names between primrosebeam and engines.
+const (
+	HeaderRequestID   = "X-Request-Id"
+	HeaderLastEventID = "Last-Event-ID"
+	HeaderLeaving     = "X-Engine-Leaving" // "true" when the engine takes no more work
+)
+
+const (
+	dialTimeout           = 2 * time.Second // within a data centre a connect takes about 2 ms
+	idleTimeout           = 60 * time.Second
+	maxIdlePerEngine      = 256
+	maxResponseHeaderSize = 64 << 10 // bytes
+	readBufferSize        = 32 << 10 // bytes; one read takes many small events
+)
+
+// Client sends requests to engines. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// New returns a client. Name look-ups and proxies of the environment are not used.
+func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: connection}, nil
+		},
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true, // the answer is passed through as it is
+		MaxResponseHeaderBytes: maxResponseHeaderSize,
+		ReadBufferSize:         readBufferSize,
+	}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Request is one request to an engine.
+type Request struct {
+	Engine string // name, for errors
+	URL    string // base URL of the engine
+	Method string
+	Target string // path and query
+	Header http.Header
+	Body   []byte
+	ID     string // request ID that the engine must answer under
+	// Begin is called once a connection stands and before the first byte is written. An error
+	// keeps every byte from being sent. It may be nil.
+	Begin func(ctx context.Context) error
+}
+
+// Do sends r and returns the engine's answer once its header has come. The caller closes the body.
+// Errors: *NotSentError, *BeginError, *BrokenError, *MismatchError.
+func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	gate := &gate{begin: r.Begin}
+	outgoing, err := r.build(gate.trace(ctx))
+	if err != nil {
+		return nil, &NotSentError{Engine: r.Engine, Cause: err}
+	}
+	response, err := c.transport.RoundTrip(outgoing)
+	if err != nil {
+		return nil, gate.classify(r.Engine, err)
+	}
+	if got := response.Header.Get(HeaderRequestID); r.ID != "" && got != "" && got != r.ID {
+		response.Body.Close()
+		return nil, &MismatchError{Engine: r.Engine, Want: r.ID, Got: got}
+	}
+	return response, nil
+}
+
+func (r Request) build(ctx context.Context) (*http.Request, error) {
+	// A body without GetBody keeps the transport from replaying the request on another
+	// connection after a byte was written, which it would do for GET.
+	body := io.NopCloser(bytes.NewReader(r.Body))
+	outgoing, err := http.NewRequestWithContext(ctx, r.Method, strings.TrimSuffix(r.URL, "/")+r.Target, body)
+	if err != nil {
+		return nil, fmt.Errorf("upstream: build request: %w", err)
+	}
+	if r.Header != nil {
+		outgoing.Header = r.Header
+	}
+	if len(r.Body) > 0 {
+		outgoing.ContentLength = int64(len(r.Body))
+	}
+	if r.ID != "" {
+		outgoing.Header.Set(HeaderRequestID, r.ID)
+	}
+	return outgoing, nil
+}
+
+// Paths of the engines' control interface.
+const (
+	pathRequests    = "/v1/requests/"
+	pathMetrics     = "/metrics"
+	pathCacheEvents = "/v1/cache-events"
+	pathLifecycle   = "/v1/lifecycle"
+)
+
+// Resume asks the engine for the events of request id after lastEventID; an empty lastEventID asks for all.
+// The caller closes the body. Errors: those of Do, and *StatusError when the engine no longer has the request.
+func (c *Client) Resume(ctx context.Context, engine, baseURL, id, lastEventID string) (*http.Response, error) {
+	header := http.Header{}
+	if lastEventID != "" {
+		header.Set(HeaderLastEventID, lastEventID)
+	}
+	response, err := c.Do(ctx, Request{
+		Engine: engine, URL: baseURL, Method: http.MethodGet,
+		Target: pathRequests + id, Header: header, ID: id,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	return response, nil
+}
+
+// Cancel asks the engine to stop working on request id. An engine may ignore it.
+func (c *Client) Cancel(ctx context.Context, engine, baseURL, id string) error {
+	response, err := c.Do(ctx, Request{
+		Engine: engine, URL: baseURL, Method: http.MethodDelete, Target: pathRequests + id, ID: id,
+	})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Status: response.StatusCode}
+	}
+	return nil
+}
+
+// IsNotSent reports whether err guarantees that no byte reached the engine.
+func IsNotSent(err error) bool {
+	var notSent *NotSentError
+	var begin *BeginError
+	return errors.As(err, &notSent) || errors.As(err, &begin)
+}
--- /dev/null
+++ b/internal/upstream/report.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxReportBytes bounds a load report, lifecycle answer or batch of cache events.
+const maxReportBytes = 1 << 20
+
+// Load is an engine's report of its load.
+type Load struct {
+	Running int
+	Waiting int
+	KVUsed  float64 // share of the KV cache in use, 0 to 1
+	At      time.Time
+}
+
+// Lifecycle is an engine's answer on its own state.
+type Lifecycle struct {
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// CacheBatch is a run of consecutive cache changes.
+type CacheBatch struct {
+	First   uint64        `json:"first"` // sequence number of the first change
+	Changes []CacheChange `json:"changes"`
+}
+
+// CacheChange is one change of an engine's prefix cache, by block hash.
+type CacheChange struct {
+	Stored  []uint64 `json:"stored,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
+	Cleared bool     `json:"cleared,omitempty"`
+}
+
+// ReportError reports a malformed answer of an engine's control interface.
+type ReportError struct {
+	Engine string
+	Path   string
+	Cause  error
+}
+
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("upstream: report %s of %q: %v", e.Path, e.Engine, e.Cause)
+}
+
+func (e *ReportError) Unwrap() error { return e.Cause }
+
+// FetchLoad reads the engine's Prometheus metrics. Errors: those of Do, *StatusError, *ReportError.
+func (c *Client) FetchLoad(ctx context.Context, engine, baseURL string) (Load, error) {
+	body, err := c.fetch(ctx, engine, baseURL, pathMetrics)
+	if err != nil {
+		return Load{}, err
+	}
+	defer body.Close()
+	load := Load{At: time.Now()}
+	lines := bufio.NewScanner(io.LimitReader(body, maxReportBytes))
+	for lines.Scan() {
+		load.read(lines.Text())
+	}
+	if err := lines.Err(); err != nil {
+		return Load{}, &ReportError{Engine: engine, Path: pathMetrics, Cause: err}
+	}
+	return load, nil
+}
+
+func (l *Load) read(line string) {
+	fields := strings.Fields(line)
+	if len(fields) < 2 || strings.HasPrefix(line, "#") {
+		return
+	}
+	value, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return
+	}
+	name, _, _ := strings.Cut(fields[0], "{")
+	switch {
+	case strings.HasSuffix(name, "num_requests_running"):
+		l.Running = int(value)
+	case strings.HasSuffix(name, "num_requests_waiting"):
+		l.Waiting = int(value)
+	case strings.HasSuffix(name, "cache_usage_perc"):
+		l.KVUsed = value
+	}
+}
+
+// FetchLifecycle asks the engine for its state. Errors: those of Do, *StatusError, *ReportError.
+func (c *Client) FetchLifecycle(ctx context.Context, engine, baseURL string) (Lifecycle, error) {
+	var answer Lifecycle
+	err := c.fetchJSON(ctx, engine, baseURL, pathLifecycle, &answer)
+	return answer, err
+}
+
+// FetchCacheEvents reads the cache changes from sequence number first on. Errors: those of Do, *StatusError, *ReportError.
+func (c *Client) FetchCacheEvents(ctx context.Context, engine, baseURL string, first uint64) (CacheBatch, error) {
+	var batch CacheBatch
+	err := c.fetchJSON(ctx, engine, baseURL, fmt.Sprintf("%s?first=%d", pathCacheEvents, first), &batch)
+	return batch, err
+}
+
+func (c *Client) fetchJSON(ctx context.Context, engine, baseURL, target string, into any) error {
+	body, err := c.fetch(ctx, engine, baseURL, target)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	if err := json.NewDecoder(io.LimitReader(body, maxReportBytes)).Decode(into); err != nil {
+		return &ReportError{Engine: engine, Path: target, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) fetch(ctx context.Context, engine, baseURL, target string) (io.ReadCloser, error) {
+	response, err := c.Do(ctx, Request{Engine: engine, URL: baseURL, Method: http.MethodGet, Target: target, Header: http.Header{}})
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	return response.Body, nil
+}
