Test the client towards engines

Cause: the standard transport replays GET on a new connection after the first was read. Change: tests for the gate before the first byte, the ruled-out replay with the same server shown to be hit twice by a plain transport, and the event splitter with a fuzz target. Conclusion: the guard holds; the check fails without it.

--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,122 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+)
+
+// Guards against bytes that reach an engine although the ledger refused the dispatch, on a fresh
+// and on a reused connection.
+func TestNothingIsSentWhenBeginFails(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer server.Close()
+	client := upstream.New()
+	request := upstream.Request{Engine: "e", URL: server.URL, Method: http.MethodPost, Target: "/", Body: []byte("x")}
+	refused := request
+	refused.Begin = func(context.Context) error { return &upstream.StatusError{Status: 1} }
+	for _, r := range []upstream.Request{refused, request, refused} {
+		r.Header = http.Header{}
+		response, err := client.Do(context.Background(), r)
+		if r.Begin == nil {
+			is.NoErr(err)
+			response.Body.Close()
+			continue
+		}
+		var begin *upstream.BeginError
+		is.True(errors.As(err, &begin))
+		is.True(upstream.IsNotSent(err))
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(requests.Load(), int32(1))
+}
+
+// closingServer answers the first request of each connection and closes the connection when the second has been read.
+func closingServer(t *testing.T, requests *atomic.Int32) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
+				for n := range 2 {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					requests.Add(1)
+					if n == 0 {
+						fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// Guards against the standard transport's replay of GET on a new connection after the engine has read it.
+func TestGetIsNotReplayedAfterItWasSent(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	url := closingServer(t, &requests)
+	client := upstream.New()
+	do := func() error {
+		response, err := client.Do(context.Background(), upstream.Request{Engine: "e", URL: url, Method: http.MethodGet, Target: "/", Header: http.Header{}})
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	is.NoErr(do())
+	var broken *upstream.BrokenError
+	is.True(errors.As(do(), &broken))
+	is.Equal(requests.Load(), int32(2))
+}
+
+// Shows that the check above fails without the guard: a plain transport replays the request.
+func TestPlainTransportReplaysGet(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	url := closingServer(t, &requests)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		response, err := client.Get(url)
+		is.NoErr(err)
+		response.Body.Close()
+	}
+	is.Equal(requests.Load(), int32(3))
+}
+
+// Guards against an unreachable engine being reported as one that may have run the request.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener.Close()
+	_, err = upstream.New().Do(context.Background(), upstream.Request{
+		Engine: "e", URL: "http://" + listener.Addr().String(), Method: http.MethodPost, Target: "/", Header: http.Header{},
+	})
+	var notSent *upstream.NotSentError
+	is.True(errors.As(err, &notSent))
+}
--- /dev/null
+++ b/internal/upstream/stream_test.go
@@ -0,0 +1,70 @@
+package upstream_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+)
+
+// Guards against a partial event being passed on, and against a stream without its last event looking whole.
+func TestEventStreamReturnsWholeEventsOnly(t *testing.T) {
+	is := is.New(t)
+	stream := upstream.NewEventStream(strings.NewReader("id: a:0\ndata: x\n\n\nid: a:1\nda"), "")
+	event, err := stream.Next()
+	is.NoErr(err)
+	is.Equal(string(event), "id: a:0\ndata: x\n\n")
+	_, err = stream.Next()
+	var unexpected *upstream.UnexpectedEndError
+	is.True(errors.As(err, &unexpected))
+	is.Equal(stream.LastID(), "a:0")
+}
+
+// Guards against a stream that never ends although its last event was read.
+func TestEventStreamEndsAfterDone(t *testing.T) {
+	is := is.New(t)
+	stream := upstream.NewEventStream(strings.NewReader("data: x\r\n\r\ndata: [DONE]\n\n"), "")
+	for range 2 {
+		_, err := stream.Next()
+		is.NoErr(err)
+	}
+	_, err := stream.Next()
+	is.True(errors.Is(err, io.EOF))
+}
+
+// Guards against a decoder that panics, or invents or loses bytes between events.
+func FuzzEventStream(f *testing.F) {
+	f.Add([]byte("id: a:0\ndata: x\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("\r\n\r\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		stream := upstream.NewEventStream(bytes.NewReader(data), "")
+		for {
+			event, err := stream.Next()
+			if err != nil {
+				return
+			}
+			if !bytes.Contains(data, event) {
+				t.Fatalf("event %q is not in the input", event)
+			}
+		}
+	})
+}
+
+func BenchmarkEventStream(b *testing.B) {
+	data := []byte(strings.Repeat("id: request:1\ndata: {\"choices\":[{\"delta\":{\"content\":\"word\"}}]}\n\n", 1000))
+	b.ReportAllocs()
+	for b.Loop() {
+		stream := upstream.NewEventStream(bytes.NewReader(data), "")
+		for {
+			if _, err := stream.Next(); err != nil {
+				break
+			}
+		}
+	}
+	b.ReportMetric(float64(b.N)*1000/b.Elapsed().Seconds(), "events/s")
+}
