configuration: complete validation, store, resolved view and codecs

Cause: validation checked selectors only, and there was no state machine for the replicated log and no compiled form for the request path.

--- /dev/null
+++ b/configuration/benchmark_test.go
@@ -0,0 +1,72 @@
+package configuration_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/label"
+)
+
+// Measures one change of a label at the design size, as every replica carries it out.
+func BenchmarkApplyLabel(b *testing.B) {
+	store := configuration.NewStore(configuration.StoreOptions{})
+	store.Apply(0, encodeChange(b, apply("first", 0, designSize())))
+	for i := 0; b.Loop(); i++ {
+		version, _ := store.Current()
+		edit := configuration.Edit{Label: &configuration.LabelEdit{Engine: "engine-300", Set: label.Set{"round": fmt.Sprint(i % 100)}}}
+		change := configuration.Change{ID: fmt.Sprintf("id-%d", i), Base: version, Edit: edit}
+		if result, ok := store.Apply(0, encodeChange(b, change)).(configuration.Result); !ok || result.Status != configuration.StatusAccepted {
+			b.Fatal(result)
+		}
+	}
+}
+
+// Measures one change that replaces the whole document at the design size.
+func BenchmarkApplyDocument(b *testing.B) {
+	store := configuration.NewStore(configuration.StoreOptions{})
+	document := designSize()
+	for i := 0; b.Loop(); i++ {
+		version, _ := store.Current()
+		if result, ok := store.Apply(0, encodeChange(b, apply(fmt.Sprintf("id-%d", i), version, document))).(configuration.Result); !ok || result.Status != configuration.StatusAccepted {
+			b.Fatal(result)
+		}
+	}
+}
+
+// Measures what a request needs: workspace, route and tier.
+func BenchmarkLookup(b *testing.B) {
+	view := must(configuration.Resolve(1, designSize()))
+	labels := label.Set{"class": "normal", "kind": "summary"}
+	b.ReportAllocs()
+	for b.Loop() {
+		workspace, _ := view.Workspace("workspace-140")
+		route, err := view.Route("POST", "/model-3/v1/chat/completions")
+		if err != nil || view.Tier(labels, workspace, route) != 1 {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Measures the compilation of a new version by an instance.
+func BenchmarkResolve(b *testing.B) {
+	document := designSize()
+	for b.Loop() {
+		must(configuration.Resolve(1, document)).Policy("centre-0")
+	}
+}
+
+// Measures a snapshot with a full table of change IDs.
+func BenchmarkSnapshot(b *testing.B) {
+	store := configuration.NewStore(configuration.StoreOptions{})
+	store.Apply(0, encodeChange(b, apply("first", 0, designSize())))
+	for i := range configuration.MaxRememberedChanges {
+		store.Apply(0, encodeChange(b, drain(fmt.Sprintf("0123456789abcdef0123456789ab-%d", i), 0, "engine-1", true)))
+	}
+	size := 0
+	for b.Loop() {
+		size = len(must(store.Snapshot()))
+	}
+	b.ReportMetric(float64(size), "bytes")
+	b.ReportMetric(float64(len(must(configuration.EncodeDocument(1, designSize())))), "document-bytes")
+}
--- /dev/null
+++ b/configuration/change.go
@@ -0,0 +1,151 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/primrosebeam/primrosebeam/label"
+	"github.com/primrosebeam/primrosebeam/strictjson"
+)
+
+// Fault is one thing wrong with a document or an edit.
+type Fault = strictjson.Fault
+
+// Change asks to edit the configuration whose version is Base.
+type Change struct {
+	ID       string  `json:"changeID"`           // chosen by the operator; the same for every resend
+	Base     Version `json:"base"`               // version that the operator read; 0 for the first document
+	Operator string  `json:"operator,omitempty"` // for the record; not part of the content
+	Edit     Edit    `json:"edit"`
+}
+
+// Edit is what a change does. Exactly one field is set.
+type Edit struct {
+	Apply *Document  `json:"apply,omitempty"` // replaces the whole document
+	Label *LabelEdit `json:"label,omitempty"`
+	Drain *DrainEdit `json:"drain,omitempty"`
+}
+
+// LabelEdit sets and removes labels of one engine.
+type LabelEdit struct {
+	Engine string    `json:"engine"`
+	Set    label.Set `json:"set,omitempty"`
+	Remove []string  `json:"remove,omitempty"`
+}
+
+// DrainEdit starts or ends the draining of one engine.
+type DrainEdit struct {
+	Engine string `json:"engine"`
+	On     bool   `json:"on"`
+}
+
+// Status is the result of a change.
+type Status string
+
+// Results of a change.
+const (
+	StatusAccepted Status = "accepted" // committed; where it is in force is not the store's concern
+	StatusConflict Status = "conflict" // the base is not the current version
+	StatusInvalid  Status = "invalid"  // the edited document has faults
+)
+
+// Result is what a change led to. It is the same for every resend.
+type Result struct {
+	Status  Status  `json:"status"`
+	Version Version `json:"version"`          // new version if accepted, otherwise the current one at that time
+	Faults  []Fault `json:"faults,omitempty"` // at most MaxResultFaults
+}
+
+// Digest identifies the content of a change: its base and edit.
+type Digest [sha256.Size]byte
+
+// MarshalText returns the digest in hexadecimal digits.
+func (d Digest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// ReusedIDError reports a change whose ID was used before for another content. It changed nothing.
+type ReusedIDError struct{ ID string }
+
+func (e *ReusedIDError) Error() string {
+	return fmt.Sprintf("configuration: change ID %q was used for another change", e.ID)
+}
+
+// InvalidIDError reports a change ID that is empty, too long or not printable ASCII.
+type InvalidIDError struct{ ID string }
+
+func (e *InvalidIDError) Error() string {
+	return fmt.Sprintf("configuration: change ID %.80q: want 1 to %d printable ASCII characters", e.ID, MaxChangeIDBytes)
+}
+
+// CheckID returns *InvalidIDError when id cannot identify a change.
+func CheckID(id string) error {
+	if id == "" || len(id) > MaxChangeIDBytes {
+		return &InvalidIDError{ID: id}
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' || c == '/' || c == '%' || c == '?' || c == '#' {
+			return &InvalidIDError{ID: id} // IDs stand in URL paths
+		}
+	}
+	return nil
+}
+
+// apply returns the document after the edit; the document itself is not changed.
+func (e *Edit) apply(document *Document) (*Document, *Fault) {
+	set := 0
+	for _, present := range []bool{e.Apply != nil, e.Label != nil, e.Drain != nil} {
+		if present {
+			set++
+		}
+	}
+	switch {
+	case set != 1:
+		return nil, &Fault{Line: 1, Field: "edit", Reason: ReasonEdit, Detail: "want exactly one of apply, label and drain"}
+	case e.Apply != nil:
+		return e.Apply, nil
+	case e.Label != nil:
+		return e.Label.apply(document)
+	default:
+		return e.Drain.apply(document)
+	}
+}
+
+func (e *LabelEdit) apply(document *Document) (*Document, *Fault) {
+	if len(e.Set) == 0 && len(e.Remove) == 0 {
+		return nil, &Fault{Line: 1, Field: "edit.label", Reason: ReasonEdit, Detail: "nothing to set or remove"}
+	}
+	return editEngine(document, "edit.label.engine", e.Engine, func(engine *Engine) {
+		labels := label.Set{}
+		for key, value := range engine.Labels {
+			labels[key] = value
+		}
+		for _, key := range e.Remove {
+			delete(labels, key)
+		}
+		for key, value := range e.Set {
+			labels[key] = value
+		}
+		engine.Labels = labels
+	})
+}
+
+func (e *DrainEdit) apply(document *Document) (*Document, *Fault) {
+	return editEngine(document, "edit.drain.engine", e.Engine, func(engine *Engine) { engine.Drained = e.On })
+}
+
+// editEngine copies the document as far as the edit reaches, since versions in force are shared.
+func editEngine(document *Document, field, name string, edit func(*Engine)) (*Document, *Fault) {
+	if document != nil {
+		for i := range document.Engines {
+			if document.Engines[i].Name != name {
+				continue
+			}
+			edited := *document
+			edited.Engines = make([]Engine, len(document.Engines))
+			copy(edited.Engines, document.Engines)
+			edit(&edited.Engines[i])
+			return &edited, nil
+		}
+	}
+	return nil, &Fault{Line: 1, Field: field, Reason: ReasonUnknownName, Detail: fmt.Sprintf("no engine %.80q", name)}
+}
--- /dev/null
+++ b/configuration/codec.go
@@ -0,0 +1,187 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// formatVersion stands in every encoded change, snapshot and document. It is raised with every
+// change of the layout; other formats are refused instead of being guessed.
+const formatVersion = 1
+
+// What an encoding can hold, as named in errors.
+const (
+	contentChange   = "change"
+	contentSnapshot = "snapshot"
+	contentDocument = "document"
+)
+
+// MalformedError reports bytes that are no valid encoding of their content.
+type MalformedError struct {
+	Content string // "change", "snapshot" or "document"
+	Detail  string
+}
+
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("configuration: malformed %s: %s", e.Content, e.Detail)
+}
+
+// FormatError reports an encoding of a format that this program does not know.
+type FormatError struct {
+	Content string
+	Format  uint64
+}
+
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("configuration: %s has format %d, want %d", e.Content, e.Format, formatVersion)
+}
+
+// TooLargeError reports an encoding beyond its bound.
+type TooLargeError struct {
+	Content string
+	Bytes   int
+	Limit   int // bytes
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("configuration: %s has %d bytes, at most %d", e.Content, e.Bytes, e.Limit)
+}
+
+// The encoding is deterministic, so that equal states give equal bytes on every replica.
+var encoder = must(cbor.CoreDetEncOptions().EncMode())
+
+var decoder = must(cbor.DecOptions{
+	DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+	IndefLength:       cbor.IndefLengthForbidden,
+	TagsMd:            cbor.TagsForbidden,
+	ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	MaxNestedLevels:   16,
+	MaxArrayElements:  1 << 14,
+	MaxMapPairs:       1 << 10,
+}.DecMode())
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // only for options that are constant
+	}
+	return v
+}
+
+type encodedChange struct {
+	Format uint64 `cbor:"format"`
+	Change Change `cbor:"change"`
+}
+
+type encodedDocument struct {
+	Format   uint64    `cbor:"format"`
+	Version  Version   `cbor:"version"`
+	Document *Document `cbor:"document"`
+}
+
+type encodedSnapshot struct {
+	Format   uint64            `cbor:"format"`
+	Version  Version           `cbor:"version"`
+	Document *Document         `cbor:"document"`
+	Changes  []encodedRemember `cbor:"changes"` // oldest first
+}
+
+type encodedRemember struct {
+	ID     string `cbor:"id"`
+	Digest []byte `cbor:"digest"`
+	Result Result `cbor:"result"`
+}
+
+// EncodeChange returns the log entry of a change. It returns *InvalidIDError or *TooLargeError.
+func EncodeChange(change Change) ([]byte, error) {
+	if err := CheckID(change.ID); err != nil {
+		return nil, err
+	}
+	return encode(contentChange, MaxChangeBytes, encodedChange{Format: formatVersion, Change: change})
+}
+
+// DecodeChange reverses EncodeChange. It returns *MalformedError, *FormatError, *TooLargeError or *InvalidIDError.
+func DecodeChange(data []byte) (Change, error) {
+	var decoded encodedChange
+	if err := decode(contentChange, MaxChangeBytes, data, &decoded); err != nil {
+		return Change{}, err
+	}
+	if err := CheckID(decoded.Change.ID); err != nil {
+		return Change{}, err
+	}
+	return decoded.Change, nil
+}
+
+// EncodeDocument returns a document with its version, as it travels between instances and lies on disk.
+func EncodeDocument(version Version, document *Document) ([]byte, error) {
+	encoded := encodedDocument{Format: formatVersion, Version: version, Document: document}
+	return encode(contentDocument, MaxDocumentBytes, encoded)
+}
+
+// DecodeDocument reverses EncodeDocument and validates the document. It returns *MalformedError,
+// *FormatError or *TooLargeError.
+func DecodeDocument(data []byte) (Version, *Document, error) {
+	var decoded encodedDocument
+	if err := decode(contentDocument, MaxDocumentBytes, data, &decoded); err != nil {
+		return 0, nil, err
+	}
+	if decoded.Version == 0 || decoded.Document == nil {
+		return 0, nil, &MalformedError{Content: contentDocument, Detail: "no version or no document"}
+	}
+	if faults := faultsOf(decoded.Document); len(faults) > 0 {
+		return 0, nil, &MalformedError{Content: contentDocument, Detail: faults[0].String()}
+	}
+	return decoded.Version, decoded.Document, nil
+}
+
+func encode(content string, limit int, value any) ([]byte, error) {
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		return nil, &MalformedError{Content: content, Detail: err.Error()}
+	}
+	if len(data) > limit {
+		return nil, &TooLargeError{Content: content, Bytes: len(data), Limit: limit}
+	}
+	return data, nil
+}
+
+func decode(content string, limit int, data []byte, into any) error {
+	if len(data) > limit {
+		return &TooLargeError{Content: content, Bytes: len(data), Limit: limit}
+	}
+	// The format is read first, since another format may have other fields.
+	var header struct {
+		Format uint64 `cbor:"format"`
+	}
+	if err := headerDecoder.Unmarshal(data, &header); err != nil {
+		return &MalformedError{Content: content, Detail: err.Error()}
+	}
+	if header.Format != formatVersion {
+		return &FormatError{Content: content, Format: header.Format}
+	}
+	if err := decoder.Unmarshal(data, into); err != nil {
+		return &MalformedError{Content: content, Detail: err.Error()}
+	}
+	return nil
+}
+
+// headerDecoder skips the fields that it does not know.
+var headerDecoder = must(cbor.DecOptions{
+	MaxNestedLevels:  16,
+	MaxArrayElements: 1 << 14,
+	MaxMapPairs:      1 << 10,
+}.DecMode())
+
+// digest returns the digest of the content of a change.
+func digest(change *Change) (Digest, error) {
+	content := struct {
+		Base Version `cbor:"base"`
+		Edit Edit    `cbor:"edit"`
+	}{change.Base, change.Edit}
+	data, err := encoder.Marshal(content)
+	if err != nil {
+		return Digest{}, &MalformedError{Content: contentChange, Detail: err.Error()}
+	}
+	return sha256.Sum256(data), nil
+}
--- a/configuration/document.go
+++ b/configuration/document.go
@@ -83,16 +83,3 @@
 	Between []string            `json:"between"` // two data centres
 	Latency strictjson.Duration `json:"latency"`
 }
-
-// Parse reads JSON with comments. It returns *strictjson.FaultsError with every fault found.
-func Parse(data []byte) (*Document, error) {
-	document := &Document{}
-	decoded := strictjson.Decode(data, document)
-	if decoded.Valid() {
-		validate(document, decoded)
-	}
-	if err := decoded.Err(); err != nil {
-		return nil, err
-	}
-	return document, nil
-}
--- /dev/null
+++ b/configuration/property_test.go
@@ -0,0 +1,84 @@
+package configuration_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/label"
+)
+
+// Guards against versions that do not grow by one, a base with two winners, rejected changes
+// that leave a trace in the document, and snapshots that lose state.
+func TestStoreProperties(t *testing.T) {
+	first := smallDocument(t)
+	rapid.Check(t, func(t *rapid.T) {
+		options := configuration.StoreOptions{Remembered: rapid.IntRange(1, 8).Draw(t, "remembered")}
+		store := configuration.NewStore(options)
+		winners := map[configuration.Version]string{}
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			before, oldDocument := store.Current()
+			change := drawChange(t, before, first)
+			data, err := configuration.EncodeChange(change)
+			if err != nil {
+				t.Fatal(err)
+			}
+			known, resent := store.Lookup(change.ID)
+			applied := store.Apply(0, data)
+			after, newDocument := store.Current()
+			result, ok := applied.(configuration.Result)
+			switch {
+			case resent && ok && fmt.Sprint(result) != fmt.Sprint(known):
+				t.Fatalf("resend of %q: %v, first %v", change.ID, result, known)
+			case !resent && ok && result.Status == configuration.StatusAccepted:
+				if other, taken := winners[change.Base]; taken || after != before+1 || change.Base != before {
+					t.Fatalf("base %d: %q and %q accepted, version %d after %d", change.Base, other, change.ID, after, before)
+				}
+				winners[change.Base] = change.ID
+			case after != before || newDocument != oldDocument:
+				t.Fatalf("version %d became %d by %v", before, after, applied)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+				store = roundTrip(t, store, options)
+			}
+		}
+	})
+}
+
+func drawChange(t *rapid.T, current configuration.Version, document *configuration.Document) configuration.Change {
+	change := configuration.Change{ID: fmt.Sprintf("id-%d", rapid.IntRange(0, 20).Draw(t, "id"))}
+	change.Base = configuration.Version(rapid.IntRange(max(0, int(current)-2), int(current)+1).Draw(t, "base"))
+	engine := rapid.SampledFrom([]string{"o1", "o2", "missing"}).Draw(t, "engine")
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		change.Edit.Apply = document
+	case 1:
+		change.Edit.Drain = &configuration.DrainEdit{Engine: engine, On: rapid.Bool().Draw(t, "on")}
+	case 2:
+		value := rapid.StringMatching(`[a-c]{1,2}`).Draw(t, "value")
+		change.Edit.Label = &configuration.LabelEdit{Engine: engine, Set: label.Set{"app": value}}
+	default:
+		change.Edit.Apply = &configuration.Document{}
+	}
+	return change
+}
+
+func roundTrip(t *rapid.T, store *configuration.Store, options configuration.StoreOptions) *configuration.Store {
+	before, err := store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := configuration.NewStore(options)
+	if err := restored.Restore(before); err != nil {
+		t.Fatal(err)
+	}
+	after, err := restored.Snapshot()
+	if err != nil || !bytes.Equal(before, after) {
+		t.Fatalf("snapshot changed by a restore (%v)", err)
+	}
+	return restored
+}
--- /dev/null
+++ b/configuration/store.go
@@ -0,0 +1,210 @@
+package configuration
+
+import (
+	"fmt"
+	"sync"
+)
+
+// StoreOptions configures a Store.
+type StoreOptions struct {
+	// OnVersion is called from Apply and Restore with every new version; it must not block. Optional.
+	OnVersion func(Version, *Document)
+	// Remembered is the size of the table of change IDs; 0 means MaxRememberedChanges. It has to
+	// be the same on all replicas, since it decides which resends are recognised.
+	Remembered int
+}
+
+// Store is the replicated state machine of the configuration. Apply, Snapshot and Restore are
+// called by one replica in the order of the log; the other methods are safe at any time.
+// Equal logs give equal states: nothing depends on time, chance or the order of a map.
+type Store struct {
+	options StoreOptions
+
+	mu       sync.RWMutex
+	version  Version
+	document *Document
+	results  map[string]remembered
+	order    []string // change IDs in order of arrival, a circle once it is full
+	oldest   int      // index into order of the next ID to evict
+}
+
+type remembered struct {
+	digest Digest
+	result Result
+}
+
+// NewStore returns an empty store: version 0, no document.
+func NewStore(o StoreOptions) *Store {
+	if o.Remembered <= 0 {
+		o.Remembered = MaxRememberedChanges
+	}
+	return &Store{options: o, results: map[string]remembered{}}
+}
+
+// Current returns the newest version and its document, which must not be changed. Version 0 has no document.
+func (s *Store) Current() (Version, *Document) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.version, s.document
+}
+
+// Lookup returns the result of a change as long as its ID is remembered.
+func (s *Store) Lookup(id string) (Result, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	found, ok := s.results[id]
+	return found.result, ok
+}
+
+// Apply carries out one log entry. It returns a Result, or an error: *ReusedIDError, or those of
+// DecodeChange for an entry that is no change. An error leaves the store as it was.
+func (s *Store) Apply(_ uint64, data []byte) any {
+	change, err := DecodeChange(data)
+	if err != nil {
+		return err
+	}
+	content, err := digest(&change)
+	if err != nil {
+		return err
+	}
+	result, changed, err := s.change(&change, content)
+	if err != nil {
+		return err
+	}
+	if changed {
+		s.announce()
+	}
+	return result
+}
+
+func (s *Store) change(change *Change, content Digest) (result Result, changed bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first, known := s.results[change.ID]; known {
+		if first.digest != content {
+			return Result{}, false, &ReusedIDError{ID: change.ID}
+		}
+		return first.result, false, nil
+	}
+	result, document := s.decide(change)
+	if result.Status == StatusAccepted {
+		s.version = result.Version
+		s.document = document
+	}
+	s.remember(change.ID, remembered{digest: content, result: result})
+	return result, result.Status == StatusAccepted, nil
+}
+
+// decide compares the base with the current version and judges the whole edited document.
+func (s *Store) decide(change *Change) (Result, *Document) {
+	if change.Base != s.version {
+		return Result{Status: StatusConflict, Version: s.version}, nil
+	}
+	edited, fault := change.Edit.apply(s.document)
+	if fault != nil {
+		return Result{Status: StatusInvalid, Version: s.version, Faults: boundFaults([]Fault{*fault})}, nil
+	}
+	if faults := faultsOf(edited); len(faults) > 0 {
+		return Result{Status: StatusInvalid, Version: s.version, Faults: boundFaults(faults)}, nil
+	}
+	// An edit of labels may push a valid document over the bound that the links carry.
+	if _, err := EncodeDocument(s.version+1, edited); err != nil {
+		fault := Fault{Line: 1, Reason: ReasonTooLong, Detail: err.Error()}
+		return Result{Status: StatusInvalid, Version: s.version, Faults: boundFaults([]Fault{fault})}, nil
+	}
+	return Result{Status: StatusAccepted, Version: s.version + 1}, edited
+}
+
+// boundFaults keeps what the table can afford. The instance that received the change has
+// reported every fault already, as it parses the document before it is proposed.
+func boundFaults(faults []Fault) []Fault {
+	bounded := make([]Fault, 0, min(len(faults), MaxResultFaults))
+	for _, fault := range faults[:cap(bounded)] {
+		if len(fault.Detail) > MaxFaultDetailBytes {
+			fault.Detail = fmt.Sprintf("%.*q", MaxFaultDetailBytes, fault.Detail)
+		}
+		bounded = append(bounded, fault)
+	}
+	return bounded
+}
+
+// remember stores a result and evicts the oldest one when the table is full. The order of the
+// log decides, so that every replica evicts the same one.
+func (s *Store) remember(id string, r remembered) {
+	s.results[id] = r
+	if len(s.order) < s.options.Remembered {
+		s.order = append(s.order, id)
+		return
+	}
+	delete(s.results, s.order[s.oldest])
+	s.order[s.oldest] = id
+	s.oldest = (s.oldest + 1) % len(s.order)
+}
+
+func (s *Store) announce() {
+	if s.options.OnVersion == nil {
+		return
+	}
+	if version, document := s.Current(); document != nil {
+		s.options.OnVersion(version, document)
+	}
+}
+
+// Snapshot returns the whole state. It returns *TooLargeError or *MalformedError.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	snapshot := encodedSnapshot{Format: formatVersion, Version: s.version, Document: s.document}
+	for i := range s.order {
+		id := s.order[(s.oldest+i)%len(s.order)]
+		found := s.results[id]
+		snapshot.Changes = append(snapshot.Changes, encodedRemember{ID: id, Digest: found.digest[:], Result: found.result})
+	}
+	return encode(contentSnapshot, MaxSnapshotBytes, snapshot)
+}
+
+// Restore replaces the state by a snapshot. It returns *MalformedError, *FormatError or
+// *TooLargeError and leaves the state as it was in that case.
+func (s *Store) Restore(data []byte) error {
+	var snapshot encodedSnapshot
+	if err := decode(contentSnapshot, MaxSnapshotBytes, data, &snapshot); err != nil {
+		return err
+	}
+	if detail := snapshot.fault(s.options.Remembered); detail != "" {
+		return &MalformedError{Content: contentSnapshot, Detail: detail}
+	}
+	s.mu.Lock()
+	s.version = snapshot.Version
+	s.document = snapshot.Document
+	s.results = make(map[string]remembered, len(snapshot.Changes))
+	s.order = nil
+	s.oldest = 0
+	for _, change := range snapshot.Changes {
+		s.remember(change.ID, remembered{digest: Digest(change.Digest), result: change.Result})
+	}
+	s.mu.Unlock()
+	s.announce()
+	return nil
+}
+
+// fault returns what makes a snapshot unusable, or "". The document is not validated again: it was
+// accepted, and stricter rules of a later program must not undo that.
+func (e *encodedSnapshot) fault(limit int) string {
+	if (e.Version == 0) != (e.Document == nil) {
+		return "a version without a document, or the reverse"
+	}
+	if len(e.Changes) > limit {
+		return fmt.Sprintf("%d change IDs, at most %d", len(e.Changes), limit)
+	}
+	seen := make(map[string]bool, len(e.Changes))
+	for _, change := range e.Changes {
+		if CheckID(change.ID) != nil || seen[change.ID] || len(change.Digest) != len(Digest{}) {
+			return fmt.Sprintf("invalid entry for change ID %.80q", change.ID)
+		}
+		if change.Result.Version > e.Version {
+			return fmt.Sprintf("change ID %q has a version above the document's", change.ID)
+		}
+		seen[change.ID] = true
+	}
+	return ""
+}
--- /dev/null
+++ b/configuration/store_test.go
@@ -0,0 +1,229 @@
+package configuration_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/label"
+)
+
+// machine is the part of a Store that replicas drive.
+type machine interface {
+	Apply(index uint64, data []byte) any
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// resendError reports a resend that was not answered with the first result.
+type resendError struct{ First, Second any }
+
+func (e *resendError) Error() string { return fmt.Sprintf("first %v, resend %v", e.First, e.Second) }
+
+// checkResend sends one change to a leader and resends it to a second replica that holds the
+// leader's log, and to a third that was restored from a snapshot.
+func checkResend(t *testing.T, build func() machine) error {
+	first, second, third := build(), build(), build()
+	log := [][]byte{
+		encodeChange(t, apply("a", 0, smallDocument(t))),
+		encodeChange(t, drain("b", 1, "o1", true)),
+		encodeChange(t, drain("c", 1, "o1", false)),
+	}
+	var results []any
+	for i, data := range log {
+		results = append(results, first.Apply(uint64(i+1), data))
+		second.Apply(uint64(i+1), data)
+	}
+	snapshot, err := first.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := third.Restore(snapshot); err != nil {
+		return err
+	}
+	for _, replica := range []machine{first, second, third} {
+		for i, data := range log {
+			if got := replica.Apply(uint64(i+4), data); fmt.Sprint(got) != fmt.Sprint(results[i]) {
+				return &resendError{First: results[i], Second: got}
+			}
+		}
+	}
+	return nil
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Guards against a resend that is judged anew after a leader change or a restore.
+func TestResendReturnsFirstResult(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(checkResend(t, func() machine { return configuration.NewStore(configuration.StoreOptions{}) }))
+	err := checkResend(t, func() machine {
+		return &replacedStore{Store: configuration.NewStore(configuration.StoreOptions{})}
+	})
+	var resent *resendError
+	is.True(errors.As(err, &resent)) // the check fails when the table does not survive a restore
+}
+
+// replacedStore forgets the table of change IDs on Restore and keeps version and document.
+type replacedStore struct{ *configuration.Store }
+
+func (s *replacedStore) Restore(data []byte) error {
+	if err := s.Store.Restore(data); err != nil {
+		return err
+	}
+	version, document := s.Current()
+	fresh := configuration.NewStore(configuration.StoreOptions{Remembered: 1})
+	for v := range version {
+		fresh.Apply(0, must(configuration.EncodeChange(apply(fmt.Sprintf("filler-%d", v), v, document))))
+	}
+	s.Store = fresh
+	return nil
+}
+
+// raceError reports a number of winners other than one.
+type raceError struct{ Accepted int }
+
+func (e *raceError) Error() string { return fmt.Sprintf("%d changes accepted, want 1", e.Accepted) }
+
+// checkRace lets operators race with the same base on one log.
+func checkRace(t *testing.T, store machine) error {
+	store.Apply(1, encodeChange(t, apply("first", 0, smallDocument(t))))
+	const operators = 8
+	var mu sync.Mutex // the log orders the entries
+	var wg sync.WaitGroup
+	accepted := 0
+	for i := range operators {
+		data := encodeChange(t, drain(fmt.Sprintf("race-%d", i), 1, "o1", i%2 == 0))
+		wg.Go(func() {
+			mu.Lock()
+			defer mu.Unlock()
+			result, ok := store.Apply(uint64(i+2), data).(configuration.Result)
+			if ok && result.Status == configuration.StatusAccepted {
+				accepted++
+			}
+		})
+	}
+	wg.Wait()
+	if accepted != 1 {
+		return &raceError{Accepted: accepted}
+	}
+	return nil
+}
+
+// rebasedStore skips the compare-and-set by moving every change to the current version.
+type rebasedStore struct{ *configuration.Store }
+
+func (s rebasedStore) Apply(index uint64, data []byte) any {
+	change := must(configuration.DecodeChange(data))
+	change.Base, _ = s.Current()
+	return s.Store.Apply(index, must(configuration.EncodeChange(change)))
+}
+
+// Guards against two operators with the same base who are both told that they succeeded.
+func TestEqualBasesHaveOneWinner(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(checkRace(t, configuration.NewStore(configuration.StoreOptions{})))
+	var race *raceError
+	err := checkRace(t, rebasedStore{configuration.NewStore(configuration.StoreOptions{})})
+	is.True(errors.As(err, &race)) // the check fails without the compare-and-set
+}
+
+// Guards against a change ID that hides a second, different change behind the first one's result.
+func TestReusedIDIsRefused(t *testing.T) {
+	is := is.New(t)
+	store := configuration.NewStore(configuration.StoreOptions{})
+	store.Apply(1, encodeChange(t, apply("a", 0, smallDocument(t))))
+	before := must(store.Snapshot())
+	var reused *configuration.ReusedIDError
+	err, _ := store.Apply(2, encodeChange(t, drain("a", 1, "o1", true))).(error)
+	is.True(errors.As(err, &reused))
+	is.Equal(must(store.Snapshot()), before) // nothing changed
+}
+
+// Guards against an edit that leaves a service without engines, names no engine, or says nothing.
+func TestInvalidEditsChangeNothing(t *testing.T) {
+	store := configuration.NewStore(configuration.StoreOptions{})
+	store.Apply(1, encodeChange(t, apply("a", 0, smallDocument(t))))
+	edits := map[string]configuration.Edit{
+		"no engine":  {Drain: &configuration.DrainEdit{Engine: "o9"}},
+		"empty":      {},
+		"two edits":  {Drain: &configuration.DrainEdit{Engine: "o1"}, Apply: smallDocument(t)},
+		"no label":   {Label: &configuration.LabelEdit{Engine: "o1"}},
+		"bad label":  {Label: &configuration.LabelEdit{Engine: "o1", Set: label.Set{"a b": "c", "d e": "f"}}},
+		"no tiers":   {Apply: &configuration.Document{}},
+		"too many":   {Apply: tooManyEngines()},
+		"bad number": {Apply: &configuration.Document{Tiers: []configuration.Tier{{Name: "a", QueueLimit: -1}}}},
+	}
+	for name, edit := range edits {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			change := configuration.Change{ID: strings.ReplaceAll(name, " ", "-"), Base: 1, Edit: edit}
+			result, ok := store.Apply(2, encodeChange(t, change)).(configuration.Result)
+			is.True(ok)
+			is.Equal(result.Status, configuration.StatusInvalid)
+			is.True(len(result.Faults) > 0)
+			is.True(len(result.Faults) <= configuration.MaxResultFaults)
+			version, document := store.Current()
+			is.Equal(version, configuration.Version(1))
+			is.Equal(document.Engines[0].Drained, false)
+		})
+	}
+}
+
+func tooManyEngines() *configuration.Document {
+	d := designSize()
+	for i := range configuration.MaxEngines {
+		d.Engines = append(d.Engines, configuration.Engine{Name: fmt.Sprintf("x y %d", i)})
+	}
+	return d
+}
+
+// Guards against an edit that reaches into a version that requests still use.
+func TestEditsLeaveOlderVersionsAlone(t *testing.T) {
+	is := is.New(t)
+	store := configuration.NewStore(configuration.StoreOptions{})
+	store.Apply(1, encodeChange(t, apply("a", 0, smallDocument(t))))
+	_, old := store.Current()
+	edit := configuration.Edit{Label: &configuration.LabelEdit{
+		Engine: "o1", Set: label.Set{"hardware": "new"}, Remove: []string{"app"},
+	}}
+	store.Apply(2, encodeChange(t, configuration.Change{ID: "b", Base: 1, Edit: edit}))
+	version, document := store.Current()
+	is.Equal(version, configuration.Version(2))
+	is.Equal(document.Engines[0].Labels, label.Set{"hardware": "new"})
+	is.Equal(old.Engines[0].Labels, label.Set{"app": "orders"})
+}
+
+// Guards against a table of change IDs that grows without bound or evicts differently after a restore.
+func TestTableOfChangeIDsIsBounded(t *testing.T) {
+	is := is.New(t)
+	options := configuration.StoreOptions{Remembered: 3}
+	store := configuration.NewStore(options)
+	store.Apply(1, encodeChange(t, apply("id-0", 0, smallDocument(t))))
+	for i := 1; i < 5; i++ {
+		store.Apply(0, encodeChange(t, drain(fmt.Sprintf("id-%d", i), configuration.Version(i), "o1", true)))
+	}
+	restored := configuration.NewStore(options)
+	is.NoErr(restored.Restore(must(store.Snapshot())))
+	for _, s := range []*configuration.Store{store, restored} {
+		s.Apply(0, encodeChange(t, drain("id-5", 5, "o1", false)))
+		_, evicted := s.Lookup("id-2")
+		_, kept := s.Lookup("id-3")
+		is.True(!evicted)
+		is.True(kept)
+		// A resend after the eviction is still subject to the compare-and-set.
+		result := s.Apply(0, encodeChange(t, drain("id-1", 1, "o1", true))).(configuration.Result)
+		is.Equal(result.Status, configuration.StatusConflict)
+	}
+	is.Equal(must(store.Snapshot()), must(restored.Snapshot()))
+}
