Replace the placeholder by the scheduling policy

Cause: the first-come first-served core ignores tiers, shares, deadlines and the state of the engines. Change: package engine (lifecycle, load view, learned speed, adaptive limit, share, prefix index, ejection) and package scheduler (tiers with shedding and floors, fair queueing in engine time, deadlines, choice of engine, retry budgets, minimumShare, State and Summary). Added to the interface: Options.Instance, Decide, Decision, State, Summary.

--- /dev/null
+++ b/engine/flight.go
@@ -0,0 +1,28 @@
+package engine
+
+// flightList is a doubly linked list through Flight.prev and Flight.next.
+type flightList struct{ first, last *Flight }
+
+func (l *flightList) push(f *Flight) {
+	f.prev, f.next = l.last, nil
+	if l.last == nil {
+		l.first = f
+	} else {
+		l.last.next = f
+	}
+	l.last = f
+}
+
+func (l *flightList) remove(f *Flight) {
+	if f.prev == nil {
+		l.first = f.next
+	} else {
+		f.prev.next = f.next
+	}
+	if f.next == nil {
+		l.last = f.prev
+	} else {
+		f.next.prev = f.prev
+	}
+	f.prev, f.next = nil, nil
+}
--- /dev/null
+++ b/engine/lifecycle.go
@@ -0,0 +1,34 @@
+package engine
+
+// Lifecycle follows the incarnations of one engine. Leaving is final for an incarnation: a lagging
+// list that still shows it as present cannot bring it back.
+type Lifecycle struct {
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Unreachable bool   `json:"unreachable"`
+	known       bool   // an incarnation was reported
+}
+
+// Observe records a report on an incarnation. It returns true when the engine has restarted.
+// Reports on earlier incarnations are ignored. The first reported incarnation is the one that any
+// earlier Leave referred to.
+func (l *Lifecycle) Observe(incarnation uint64, leaving, reachable bool) (restarted bool) {
+	if l.known && incarnation < l.Incarnation {
+		return false
+	}
+	restarted = l.known && incarnation > l.Incarnation
+	if restarted {
+		l.Leaving = false
+	}
+	l.known = true
+	l.Incarnation = incarnation
+	l.Leaving = l.Leaving || leaving
+	l.Unreachable = !reachable
+	return restarted
+}
+
+// Leave marks the present incarnation as leaving.
+func (l *Lifecycle) Leave() { l.Leaving = true }
+
+// Accepts reports whether the engine may be given new work.
+func (l *Lifecycle) Accepts() bool { return !l.Leaving && !l.Unreachable }
--- /dev/null
+++ b/engine/limit.go
@@ -0,0 +1,89 @@
+package engine
+
+import "time"
+
+const (
+	initialLimit      = 8   // requests on a model engine until its speed is known
+	initialPlainLimit = 16  // requests on a plain engine until its speed is known
+	maximumLimit      = 512 // requests; bounds the growth without objectives
+	adjustEvery       = 500 * time.Millisecond
+	decreaseFactor    = 0.9
+	increaseFactor    = 0.06
+	objectiveMargin   = 0.9  // the mean is held at this part of the objective, so that the tail meets it
+	kneeFactor        = 1.5  // latency relative to an empty engine that is accepted beyond the objective
+	plainKneeFactor   = 2    // the same for engines without an objective
+	missShare         = 0.1  // share of first tokens beyond their objective that lowers the limit
+	usedShare         = 0.75 // a limit of which less is used is not raised: there is no evidence for it
+)
+
+// limit is the adaptive concurrency limit of an engine over all instances. It falls while measured
+// latencies exceed the objectives and rises while they are met and the limit is in use.
+type limit struct {
+	value     float64
+	hard      float64
+	objective float64 // seconds between tokens, or per answer of a plain engine; 0 means none
+	adjusted  time.Time
+	peak      float64 // largest occupancy since adjusted
+	measured  int     // first tokens since adjusted
+	missed    int     // of these, beyond their objective
+}
+
+func newLimit(o Options) limit {
+	l := limit{value: initialLimit}
+	if o.Plain {
+		l.value = initialPlainLimit
+	}
+	l.reconfigure(o)
+	return l
+}
+
+func (l *limit) reconfigure(o Options) {
+	l.hard = maximumLimit
+	if o.MaxInFlight > 0 {
+		l.hard = float64(o.MaxInFlight)
+	}
+	l.objective = o.BetweenTokens.Seconds()
+	if o.Plain {
+		l.objective = o.FirstToken.Seconds()
+	}
+	l.value = min(l.value, l.hard)
+}
+
+// firstToken records a time to first token. A request whose own prefill takes longer than the
+// objective says nothing about the load.
+func (l *limit) firstToken(objective, took time.Duration, alone float64) {
+	if objective <= 0 || alone > objective.Seconds() {
+		return
+	}
+	l.measured++
+	if took > objective {
+		l.missed++
+	}
+}
+
+func (l *limit) adjust(now time.Time, occupancy float64, latency *curve) {
+	l.peak = max(l.peak, occupancy)
+	if now.Sub(l.adjusted) < adjustEvery {
+		return
+	}
+	late := l.measured > 0 && float64(l.missed) > missShare*float64(l.measured)
+	switch {
+	case late || latency.mean() > l.target(latency):
+		l.value *= decreaseFactor
+	case l.peak >= usedShare*l.value:
+		l.value += max(l.value*increaseFactor, 0.5)
+	}
+	l.value = min(max(l.value, 1), l.hard)
+	l.adjusted = now
+	l.peak, l.measured, l.missed = 0, 0, 0
+}
+
+// target is the latency up to which the limit rises. An engine that cannot meet the objective even
+// when empty is held at the knee of its curve, since a limit of 1 would waste it.
+func (l *limit) target(latency *curve) float64 {
+	empty := latency.at(1)
+	if l.objective == 0 {
+		return plainKneeFactor * empty
+	}
+	return max(objectiveMargin*l.objective, kneeFactor*empty)
+}
--- /dev/null
+++ b/engine/prefix.go
@@ -0,0 +1,158 @@
+package engine
+
+const (
+	prefixWays         = 8    // slots in which one hash may lie; eviction is by age among them
+	confidencePerLoss  = 0.8  // factor for each lost cache event, bounded by the next constant
+	minimumConfidence  = 0.3  // the index still says more than nothing after a long gap
+	confidenceRecovery = 0.01 // part of the missing confidence that one event in order restores
+	confidenceLearning = 0.05 // weight of one answer's count of cached tokens
+	countedLosses      = 8    // lost events that are counted for one gap
+)
+
+// Prefix is a bounded index of the prompt blocks that an engine has probably cached. It is a
+// set-associative table with eviction of the oldest entry of a set, so that it is of fixed size
+// and allocates once. Blocks are chained hashes: a block implies all blocks before it.
+type Prefix struct {
+	capacity   int
+	keys       []uint64 // 0 is an empty slot
+	stamps     []uint32
+	sets       uint64
+	clock      uint32
+	doubt      float64 // 1 minus the confidence
+	nextEvent  uint64
+	haveEvents bool
+}
+
+func (p *Prefix) resize(capacity int) {
+	if capacity == p.capacity {
+		return
+	}
+	p.capacity = capacity
+	p.Clear()
+	p.keys, p.stamps = nil, nil
+}
+
+// Clear forgets every block.
+func (p *Prefix) Clear() { clear(p.keys) }
+
+func (p *Prefix) allocate() {
+	p.sets = 1
+	for int(p.sets)*prefixWays < p.capacity {
+		p.sets *= 2
+	}
+	p.keys = make([]uint64, p.sets*prefixWays)
+	p.stamps = make([]uint32, p.sets*prefixWays)
+}
+
+func (p *Prefix) find(hash uint64) int {
+	if len(p.keys) == 0 {
+		return -1
+	}
+	base := int((hash>>32^hash)%p.sets) * prefixWays
+	for i := base; i < base+prefixWays; i++ {
+		if p.keys[i] == hash {
+			return i
+		}
+	}
+	return -1
+}
+
+// Match returns how many leading blocks are in the index.
+func (p *Prefix) Match(blocks []uint64) int {
+	for i, hash := range blocks {
+		if p.find(hash) < 0 {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// Add records that the engine has or is about to have the blocks. Later blocks count as older, so
+// that a chain loses its end first, as in the engine.
+func (p *Prefix) Add(blocks []uint64) {
+	if p.capacity == 0 || len(blocks) == 0 {
+		return
+	}
+	if p.keys == nil {
+		p.allocate()
+	}
+	p.clock += uint32(len(blocks))
+	for i, hash := range blocks {
+		p.put(hash, p.clock-uint32(i))
+	}
+}
+
+func (p *Prefix) put(hash uint64, stamp uint32) {
+	if hash == 0 {
+		return
+	}
+	slot := p.find(hash)
+	if slot < 0 {
+		slot = p.victim(hash)
+	}
+	p.keys[slot] = hash
+	p.stamps[slot] = stamp
+}
+
+// victim returns an empty slot of the hash's set, or else the one with the oldest entry.
+func (p *Prefix) victim(hash uint64) int {
+	base := int((hash>>32^hash)%p.sets) * prefixWays
+	oldest := base
+	for i := base; i < base+prefixWays; i++ {
+		if p.keys[i] == 0 {
+			return i
+		}
+		if int32(p.stamps[i]-p.stamps[oldest]) < 0 {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
+// Events applies a run of cache changes whose first has the given sequence number. Lost events
+// lower the confidence in the index; events in order restore it slowly.
+func (p *Prefix) Events(first uint64, changes int) {
+	if p.haveEvents && first > p.nextEvent {
+		for range min(first-p.nextEvent, countedLosses) {
+			p.doubt = 1 - max((1-p.doubt)*confidencePerLoss, minimumConfidence)
+		}
+	}
+	for range changes {
+		p.doubt *= 1 - confidenceRecovery
+	}
+	p.haveEvents = true
+	p.nextEvent = max(p.nextEvent, first+uint64(changes))
+}
+
+// Remove records that the engine evicted the blocks.
+func (p *Prefix) Remove(blocks []uint64) {
+	for _, hash := range blocks {
+		if i := p.find(hash); i >= 0 {
+			p.keys[i] = 0
+		}
+	}
+}
+
+// Learn compares the cached tokens of an answer with the estimate.
+func (p *Prefix) Learn(expected, actual float64) {
+	if expected <= 0 {
+		return
+	}
+	missing := 1 - min(actual/expected, 1)
+	p.doubt += confidenceLearning * (missing - p.doubt)
+	p.doubt = min(p.doubt, 1-minimumConfidence)
+}
+
+// Confidence returns the share of matched blocks that is expected to be cached.
+func (p *Prefix) Confidence() float64 { return 1 - p.doubt }
+
+// Blocks counts the blocks in the index.
+func (p *Prefix) Blocks() int {
+	n := 0
+	for _, key := range p.keys {
+		if key != 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/engine/share.go
@@ -0,0 +1,26 @@
+package engine
+
+import "math"
+
+// share is the part of an engine's limit that this instance may use.
+type share struct {
+	allowed int
+	peers   float64 // demand of the other instances, in requests
+	known   bool    // other instances have been heard of
+}
+
+// refresh divides the limit in proportion to demand. While total demand is below the limit the
+// result is at least the own demand, so that no capacity is left idle.
+func (s *share) refresh(whole, demand, dither, peerInFlight float64) {
+	if !s.known || s.peers <= 0 {
+		s.allowed = max(int(math.Round(whole)), 1)
+		return
+	}
+	mine := max(demand, 1)
+	part := whole * mine / (mine + s.peers)
+	s.allowed = int(min(part+dither, whole))
+	// Without this an instance with a share below one could have no place on any engine.
+	if s.allowed == 0 && peerInFlight < whole {
+		s.allowed = 1
+	}
+}
--- /dev/null
+++ b/scheduler/admit.go
@@ -0,0 +1,176 @@
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+)
+
+// defaultQueueLimit bounds the waiting requests of a tier without a configured limit.
+const defaultQueueLimit = 4096
+
+func (s *Scheduler) arrive(now time.Time, r *Request) {
+	if _, exists := s.requests[r.ID]; exists {
+		return
+	}
+	workspace, known := s.workspaces[r.Workspace]
+	sv := s.services[r.Service]
+	if !known || sv == nil || r.Tier < 0 || r.Tier >= len(s.policy.Tiers) {
+		s.refuseArrival(r.ID, nil, 0, RejectUnknown)
+		return
+	}
+	s.counters.Arrived++
+	s.budget(r.Workspace, sv).earn(sv.config.RetryBudget)
+	if !sv.possible() {
+		s.refuseArrival(r.ID, sv, r.Tier, RejectNoEngine)
+		return
+	}
+	barred := r.Tier > s.floors.lowest(now)
+	if barred && s.lowestWaiting() <= r.Tier {
+		s.refuseArrival(r.ID, sv, r.Tier, RejectFloor)
+		return
+	}
+	e := s.newEntry()
+	e.request = *r
+	e.tier = r.Tier
+	e.arrived = now
+	s.sequence++
+	e.sequence = s.sequence
+	s.requests[r.ID] = e
+	s.enqueue(now, e, sv, workspace)
+	if s.hopeless(now, e) {
+		s.reject(e, RejectDeadline)
+		return
+	}
+	s.dispatch(now)
+	switch {
+	case e.list == nil:
+	case barred:
+		s.shed(now, RejectFloor)
+	case s.waiting[e.tier] > s.queueLimit(e.tier):
+		s.shed(now, RejectShed)
+	}
+}
+
+func (s *Scheduler) refuseArrival(id RequestID, sv *service, tier int, reason RejectReason) {
+	s.counters.Rejected[reasonIndex(reason)]++
+	s.decide(Decision{Kind: DecideReject, ID: id, Reason: reason, RetryAfter: s.retryAfter(sv, tier)})
+}
+
+func (s *Scheduler) queueLimit(tier int) int {
+	if limit := s.policy.Tiers[tier].QueueLimit; limit > 0 {
+		return limit
+	}
+	return defaultQueueLimit
+}
+
+// lowestWaiting returns the lowest tier of which a request waits, -1 when none does.
+func (s *Scheduler) lowestWaiting() int {
+	for tier := len(s.waiting) - 1; tier >= 0; tier-- {
+		if s.waiting[tier] > 0 {
+			return tier
+		}
+	}
+	return -1
+}
+
+// shed gives up on the newest request of the workspace furthest over its fair share in the lowest
+// tier that waits, whichever tier is short of room: so no request is shed while one of a lower
+// tier waits. The floor is published first.
+func (s *Scheduler) shed(now time.Time, reason RejectReason) {
+	tier := s.lowestWaiting()
+	if tier < 0 {
+		return
+	}
+	s.publishFloor(now, tier)
+	var worst *flow
+	for _, sv := range s.ordered {
+		f := sv.groups[tier].furthest()
+		if f != nil && (worst == nil || f.excess() > worst.excess()) {
+			worst = f
+		}
+	}
+	if worst != nil {
+		s.reject(worst.newest(), reason)
+		return
+	}
+	for _, sv := range s.ordered {
+		if e := sv.groups[tier].retries.last; e != nil {
+			s.reject(e, reason)
+			return
+		}
+	}
+}
+
+// enqueue makes an entry wait in its flow.
+func (s *Scheduler) enqueue(now time.Time, e *entry, sv *service, workspace int) {
+	e.service = sv
+	weight := s.policy.Workspaces[workspace].Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	g := sv.groups[e.tier]
+	e.flow = g.flow(workspace, weight)
+	e.output = float64(e.request.OutputTokens)
+	if e.output <= 0 && !sv.plain() {
+		e.output = sv.output
+	}
+	e.cost = sv.estimate(float64(e.request.PromptTokens), e.output)
+	s.setTimes(e)
+	if e.refusals > 0 {
+		s.wait(e, &g.retries)
+		return
+	}
+	list := &e.flow.onTime
+	if !e.startBy.IsZero() && now.After(e.startBy) {
+		list = &e.flow.late
+	}
+	s.wait(e, list)
+}
+
+func (s *Scheduler) wait(e *entry, list *entryList) {
+	e.flow.group.add(e, list)
+	e.service.waiting++
+	s.waiting[e.tier]++
+	e.due = e.lastStart()
+	if list == &e.flow.onTime && !e.startBy.IsZero() && (e.due.IsZero() || e.startBy.Before(e.due)) {
+		e.due = e.startBy
+	}
+	if !e.due.IsZero() {
+		heap.Push(&s.dues, e)
+	}
+}
+
+// dequeue takes an entry out of its list, the counts and the heap.
+func (s *Scheduler) dequeue(e *entry) {
+	e.flow.group.remove(e)
+	e.service.waiting--
+	s.waiting[e.tier]--
+	if e.dueAt >= 0 {
+		heap.Remove(&s.dues, e.dueAt)
+	}
+}
+
+// reject gives up on a waiting entry.
+func (s *Scheduler) reject(e *entry, reason RejectReason) {
+	s.dequeue(e)
+	s.rejectTaken(e, reason)
+}
+
+// rejectTaken gives up on an entry that is in no list.
+func (s *Scheduler) rejectTaken(e *entry, reason RejectReason) {
+	s.refuseArrival(e.request.ID, e.service, e.tier, reason)
+	s.release(e)
+}
+
+func (s *Scheduler) abandon(id RequestID) {
+	e := s.requests[id]
+	switch {
+	case e == nil || e.abandoned:
+	case e.list != nil:
+		s.dequeue(e)
+		s.release(e)
+	default:
+		e.abandoned = true
+		s.decide(Decision{Kind: DecideCancel, ID: id, Engine: e.server.config.Name})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,199 +3,151 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/primrosebeam/primrosebeam/engine"
 )
 
-// defaultInFlight bounds the requests in flight on an engine without a configured limit.
-const defaultInFlight = 16
+// tickEvery is the period at which shares, references and ejections are brought up to date. It is
+// well below the exchange period of 500 ms, so that a new summary takes effect at once.
+const tickEvery = 100 * time.Millisecond
 
 // Options configures a Scheduler.
 type Options struct {
-	Rand *rand.Rand // source of randomness; required
+	Rand     *rand.Rand // source of randomness; required
+	Instance string     // name of this instance in Summary; its own summaries are ignored
 }
 
 // Scheduler holds the waiting and dispatched requests of one instance. It is not safe for concurrent use.
 type Scheduler struct {
-	rand     *rand.Rand
-	policy   Policy
-	waiting  [][]*entry // by tier, oldest first
-	requests map[RequestID]*entry
-	inFlight map[string]int
-	leaving  map[string]bool
-	actions  []Action
-}
-
-type entry struct {
-	request    Request
-	engine     string // empty while waiting
-	refusedBy  map[string]bool
-	dispatched bool
+	rand       *rand.Rand
+	instance   string
+	policy     Policy
+	workspaces map[string]int // index into Policy.Workspaces
+	services   map[string]*service
+	ordered    []*service
+	servers    map[string]*server
+	members    []*server // servers of the policy in force
+	lifecycles map[string]*engine.Lifecycle
+	requests   map[RequestID]*entry
+	free       []*entry
+	dues       dueHeap
+	floors     floors
+	peers      map[string]*peer
+	budgets    map[budgetKey]*budget
+	homes      homes
+	waiting    []int // requests by tier
+	inFlight   int
+	sequence   uint64
+	ticked     time.Time
+	turn       int // service that is served first, rotates
+	decisions  []Decision
+	actions    []Action
+	counters   Counters
 }
 
 // New returns a scheduler without a policy; it rejects every request until Configure.
 func New(o Options) *Scheduler {
 	return &Scheduler{
-		rand:     o.Rand,
-		requests: map[RequestID]*entry{},
-		inFlight: map[string]int{},
-		leaving:  map[string]bool{},
+		rand:       o.Rand,
+		instance:   o.Instance,
+		workspaces: map[string]int{},
+		services:   map[string]*service{},
+		servers:    map[string]*server{},
+		lifecycles: map[string]*engine.Lifecycle{},
+		requests:   map[RequestID]*entry{},
+		peers:      map[string]*peer{},
+		budgets:    map[budgetKey]*budget{},
+		floors:     newFloors(),
 	}
 }
 
 // Step consumes one event and returns the actions that it causes. The slice is valid until the next call.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
+	for _, d := range s.Decide(now, e) {
+		s.actions = append(s.actions, d.Action())
+	}
+	return s.actions
+}
+
+// Decide is Step without the allocation that a value in an interface costs. The slice is valid
+// until the next call.
+func (s *Scheduler) Decide(now time.Time, e Event) []Decision {
+	s.decisions = s.decisions[:0]
+	s.apply(now, e)
+	if now.Sub(s.ticked) >= tickEvery {
+		s.tick(now)
+	}
+	s.expire(now)
+	s.dispatch(now)
+	return s.decisions
+}
+
+func (s *Scheduler) apply(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Configure:
-		s.configure(e.Policy)
+		s.configure(now, e.Policy)
 	case Arrive:
-		s.arrive(e.Request)
+		s.arrive(now, &e.Request)
 	case Abandon:
 		s.abandon(e.ID)
+	case BytesSent:
+		s.bytesSent(e.ID)
 	case Refused:
-		s.refused(e.ID)
+		s.refused(now, e.ID)
+	case FirstToken:
+		s.firstToken(now, e.ID)
+	case Progress:
+		s.progress(now, e)
 	case Finish:
-		s.finish(e.ID)
+		s.finish(now, e)
+	case LoadReport:
+		s.loadReport(now, e)
+	case CacheEvents:
+		s.cacheEvents(e)
 	case EngineState:
-		if e.Leaving {
-			s.leaving[e.Engine] = true
-		}
-	}
-	s.dispatch()
-	return s.actions
-}
-
-// NextWake returns the time at which Step(now, Wake{}) is due at the latest; ok is false when there is none.
-func (s *Scheduler) NextWake() (at time.Time, ok bool) { return time.Time{}, false }
-
-func (s *Scheduler) configure(p Policy) {
-	waiting := make([][]*entry, len(p.Tiers))
-	for tier, queue := range s.waiting {
-		for _, w := range queue {
-			waiting[min(tier, len(waiting)-1)] = append(waiting[min(tier, len(waiting)-1)], w)
-		}
-	}
-	s.policy = p
-	s.waiting = waiting
-}
-
-func (s *Scheduler) arrive(r Request) {
-	if r.Tier < 0 || r.Tier >= len(s.policy.Tiers) {
-		s.actions = append(s.actions, Reject{ID: r.ID, Reason: RejectUnknown})
-		return
-	}
-	w := &entry{request: r}
-	s.requests[r.ID] = w
-	s.waiting[r.Tier] = append(s.waiting[r.Tier], w)
-	if limit := s.policy.Tiers[r.Tier].QueueLimit; limit > 0 && len(s.waiting[r.Tier]) > limit {
-		s.shed()
+		s.engineState(now, e)
+	case PeerSummary:
+		s.peerSummary(now, e)
+	case PeerFloor:
+		s.floors.set(now, e)
 	}
 }
 
-// shed gives up on the newest request of the lowest tier that has any.
-func (s *Scheduler) shed() {
-	for tier := len(s.waiting) - 1; tier >= 0; tier-- {
-		queue := s.waiting[tier]
-		if len(queue) == 0 {
-			continue
-		}
-		victim := queue[len(queue)-1]
-		s.waiting[tier] = queue[:len(queue)-1]
-		delete(s.requests, victim.request.ID)
-		s.actions = append(s.actions, Reject{ID: victim.request.ID, Reason: RejectShed, RetryAfter: time.Second})
-		return
+// NextWake returns the time at which Step(now, Wake{}) is due at the latest; ok is false when
+// there is none, since nothing waits.
+func (s *Scheduler) NextWake() (at time.Time, ok bool) {
+	if !s.anyWaiting() {
+		return time.Time{}, false
 	}
-}
-
-func (s *Scheduler) abandon(id RequestID) {
-	w, known := s.requests[id]
-	if !known {
-		return
-	}
-	if w.dispatched {
-		s.actions = append(s.actions, Cancel{ID: id, Engine: w.engine})
-		return
+	at = s.ticked.Add(tickEvery)
+	if len(s.dues) > 0 && s.dues[0].due.Before(at) {
+		at = s.dues[0].due
 	}
-	s.remove(w)
+	return at, true
 }
 
-func (s *Scheduler) remove(w *entry) {
-	delete(s.requests, w.request.ID)
-	queue := s.waiting[w.request.Tier]
-	for i, candidate := range queue {
-		if candidate == w {
-			s.waiting[w.request.Tier] = append(queue[:i], queue[i+1:]...)
-			return
+func (s *Scheduler) anyWaiting() bool {
+	for _, n := range s.waiting {
+		if n > 0 {
+			return true
 		}
 	}
+	return false
 }
 
-func (s *Scheduler) refused(id RequestID) {
-	w, known := s.requests[id]
-	if !known || !w.dispatched {
-		return
-	}
-	s.inFlight[w.engine]--
-	if w.refusedBy == nil {
-		w.refusedBy = map[string]bool{}
-	}
-	w.refusedBy[w.engine] = true
-	w.engine = ""
-	w.dispatched = false
-	s.waiting[w.request.Tier] = append([]*entry{w}, s.waiting[w.request.Tier]...)
-}
-
-func (s *Scheduler) finish(id RequestID) {
-	w, known := s.requests[id]
-	if !known {
-		return
+// tick brings up to date what changes with time alone.
+func (s *Scheduler) tick(now time.Time) {
+	s.ticked = now
+	s.forgetPeers(now)
+	for _, sv := range s.ordered {
+		sv.usable = sv.countUsable()
 	}
-	s.inFlight[w.engine]--
-	delete(s.requests, id)
-}
-
-func (s *Scheduler) dispatch() {
-	for tier, queue := range s.waiting {
-		kept := queue[:0]
-		for _, w := range queue {
-			name, eligible := s.choose(w)
-			switch {
-			case name != "":
-				w.engine = name
-				w.dispatched = true
-				s.inFlight[name]++
-				s.actions = append(s.actions, Dispatch{ID: w.request.ID, Engine: name})
-			case !eligible:
-				delete(s.requests, w.request.ID)
-				s.actions = append(s.actions, Reject{ID: w.request.ID, Reason: RejectNoEngine, RetryAfter: time.Second})
-			default:
-				kept = append(kept, w)
-			}
-		}
-		s.waiting[tier] = kept
+	for _, m := range s.members {
+		m.view.Health.Expire(now)
+		s.refresh(now, m)
 	}
-}
-
-// choose returns the engine with the fewest requests in flight; eligible is false when none can ever take the request.
-func (s *Scheduler) choose(w *entry) (name string, eligible bool) {
-	best := 0
-	for _, service := range s.policy.Services {
-		if service.Name != w.request.Service {
-			continue
-		}
-		for _, e := range s.policy.Engines {
-			if e.Drained || s.leaving[e.Name] || w.refusedBy[e.Name] || !service.Selector.Matches(e.Labels) {
-				continue
-			}
-			eligible = true
-			limit := e.MaxInFlight
-			if limit == 0 {
-				limit = defaultInFlight
-			}
-			if n := s.inFlight[e.Name]; n < limit && (name == "" || n < best) {
-				name = e.Name
-				best = n
-			}
-		}
+	for _, sv := range s.ordered {
+		sv.updateReference(now)
 	}
-	return name, eligible
 }
--- /dev/null
+++ b/scheduler/server.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/engine"
+)
+
+// server is one engine of the policy.
+type server struct {
+	config    Engine
+	number    int // index into Scheduler.members
+	view      *engine.View
+	lifecycle *engine.Lifecycle
+	drained   bool
+	services  []*service
+	openAt    []int // index in service.open for each of services; -1 when absent
+	peers     peerSums
+}
+
+// accepts reports whether the engine may be given new work.
+func (m *server) accepts() bool {
+	return !m.drained && m.lifecycle.Accepts() && !m.view.Health.Ejected()
+}
+
+// refresh recomputes this instance's share of an engine.
+func (s *Scheduler) refresh(now time.Time, m *server) {
+	demand := float64(m.view.InFlight())
+	spread := 1
+	for _, sv := range m.services {
+		demand += float64(sv.waiting) / float64(max(sv.usable, 1))
+		spread = max(spread, sv.usable)
+	}
+	peerDemand := m.peers.inFlight + m.peers.demand/float64(spread)
+	m.view.Peers(now, m.peers.inFlight, peerDemand, len(s.peers) > 0)
+	m.view.Refresh(now, demand)
+	m.updateOpen()
+}
+
+// updateOpen enters the engine in the lists of engines with room, or takes it out.
+func (m *server) updateOpen() {
+	open := m.accepts() && m.view.Room()
+	for i, sv := range m.services {
+		switch {
+		case open && m.openAt[i] < 0:
+			m.openAt[i] = len(sv.open)
+			sv.open = append(sv.open, m)
+		case !open && m.openAt[i] >= 0:
+			sv.close(m, m.openAt[i])
+			m.openAt[i] = -1
+		}
+	}
+}
+
+func (sv *service) close(m *server, at int) {
+	last := sv.open[len(sv.open)-1]
+	sv.open[at] = last
+	sv.open[len(sv.open)-1] = nil
+	sv.open = sv.open[:len(sv.open)-1]
+	if last == m {
+		return
+	}
+	for i, candidate := range last.services {
+		if candidate == sv {
+			last.openAt[i] = at
+		}
+	}
+}
+
+func (s *Scheduler) loadReport(now time.Time, e LoadReport) {
+	if m := s.servers[e.Engine]; m != nil {
+		m.view.Report(now, e.At, e.Running, e.Waiting)
+	}
+}
+
+func (s *Scheduler) cacheEvents(e CacheEvents) {
+	m := s.servers[e.Engine]
+	if m == nil {
+		return
+	}
+	p := &m.view.Prefix
+	p.Events(e.First, len(e.Changes))
+	for _, change := range e.Changes {
+		if change.Cleared {
+			p.Clear()
+		}
+		p.Remove(change.Removed)
+		p.Add(change.Stored)
+	}
+}
+
+func (s *Scheduler) engineState(now time.Time, e EngineState) {
+	l := s.lifecycle(e.Engine)
+	restarted := l.Observe(e.Incarnation, e.Leaving, e.Reachable)
+	m := s.servers[e.Engine]
+	if m == nil {
+		return
+	}
+	if restarted {
+		m.view.Restarted(now)
+	}
+	s.lifecycleChanged(now, m)
+}
+
+func (s *Scheduler) lifecycle(name string) *engine.Lifecycle {
+	l := s.lifecycles[name]
+	if l == nil {
+		s.pruneLifecycles()
+		l = &engine.Lifecycle{}
+		s.lifecycles[name] = l
+	}
+	return l
+}
+
+// maximumLifecycles bounds the memory for engines that are not in the policy: the platform's list
+// may name an engine before the configuration does, or after.
+const maximumLifecycles = 8192
+
+func (s *Scheduler) pruneLifecycles() {
+	if len(s.lifecycles) < maximumLifecycles {
+		return
+	}
+	for name := range s.lifecycles {
+		if s.servers[name] == nil {
+			delete(s.lifecycles, name)
+		}
+	}
+}
+
+func (s *Scheduler) lifecycleChanged(now time.Time, m *server) {
+	for _, sv := range m.services {
+		sv.usable = sv.countUsable()
+	}
+	s.refresh(now, m)
+	for _, sv := range m.services {
+		s.rejectImpossible(sv)
+	}
+}
+
+// rejectImpossible gives up on requests that no engine can take any more.
+func (s *Scheduler) rejectImpossible(sv *service) {
+	possible := sv.possible()
+	for tier := len(sv.groups) - 1; tier >= 0; tier-- {
+		g := sv.groups[tier]
+		for e := g.retries.first; e != nil; {
+			next := e.next
+			if !possible || !e.possible() {
+				s.reject(e, RejectNoEngine)
+			}
+			e = next
+		}
+		for !possible && len(g.active) > 0 {
+			s.reject(g.active[0].newest(), RejectNoEngine)
+		}
+	}
+}
+
+// possible reports whether an engine is left that may take the request.
+func (e *entry) possible() bool {
+	for _, m := range e.service.members {
+		if !m.drained && !m.lifecycle.Leaving && !e.refusedByServer(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// eject takes an engine out that fails far more than it answers, unless too many are out already.
+func (s *Scheduler) eject(now time.Time, m *server) {
+	if !m.view.Health.Outlier() {
+		return
+	}
+	for _, sv := range m.services {
+		if !sv.ejectable() {
+			return
+		}
+	}
+	m.view.Health.Eject(now)
+	s.counters.Ejections++
+	for _, sv := range m.services {
+		sv.usable = sv.countUsable()
+	}
+}
--- /dev/null
+++ b/scheduler/state.go
@@ -0,0 +1,182 @@
+package scheduler
+
+import "time"
+
+// Counters counts what the scheduler has done since it was made.
+type Counters struct {
+	Arrived    uint64                     `json:"arrived"`
+	Dispatched uint64                     `json:"dispatched"`
+	Finished   uint64                     `json:"finished"`
+	Retried    uint64                     `json:"retried"`
+	Ejections  uint64                     `json:"ejections"`
+	Rejected   [len(rejectReasons)]uint64 `json:"-"`
+}
+
+var rejectReasons = [...]RejectReason{
+	RejectShed, RejectFloor, RejectDeadline, RejectNoEngine, RejectRetries, RejectUnknown,
+}
+
+func reasonIndex(r RejectReason) int {
+	for i, reason := range rejectReasons {
+		if reason == r {
+			return i
+		}
+	}
+	return len(rejectReasons) - 1
+}
+
+// State is a snapshot for dumps. It holds no contents of requests.
+type State struct {
+	At       time.Time               `json:"at"`
+	InFlight int                     `json:"inFlight"`
+	Counters Counters                `json:"counters"`
+	Rejected map[RejectReason]uint64 `json:"rejected"`
+	Floor    *FloorState             `json:"floor,omitempty"`
+	Tiers    []TierState             `json:"tiers"`
+	Services []ServiceState          `json:"services"`
+	Engines  []EngineSnapshot        `json:"engines"`
+	Peers    []PeerState             `json:"peers"`
+}
+
+// FloorState is the admission floor that other instances ask for.
+type FloorState struct {
+	Tier  int       `json:"tier"`
+	Until time.Time `json:"until"`
+}
+
+// TierState counts the waiting requests of one tier.
+type TierState struct {
+	Name    string `json:"name"`
+	Waiting int    `json:"waiting"`
+}
+
+// ServiceState is the queue of one service.
+type ServiceState struct {
+	Name        string      `json:"name"`
+	Usable      int         `json:"usable"` // engines that accept work
+	Open        int         `json:"open"`   // engines with room
+	Waiting     int         `json:"waiting"`
+	Places      float64     `json:"places"`  // requests that may be on the engines from this instance
+	Stretch     float64     `json:"stretch"` // actual relative to estimated time of a request
+	Flows       []FlowState `json:"flows"`
+	MeanOutput  float64     `json:"meanOutputTokens"`
+	DecodeMS    float64     `json:"decodeMilliseconds"`
+	PrefillRate float64     `json:"prefillTokensPerSecond"`
+}
+
+// FlowState is what waits of one workspace in one tier of a service.
+type FlowState struct {
+	Tier      string  `json:"tier"`
+	Workspace string  `json:"workspace"`
+	Waiting   int     `json:"waiting"`
+	Late      int     `json:"late"`
+	Work      float64 `json:"engineSeconds"`
+}
+
+// EngineSnapshot is one engine as this instance sees it.
+type EngineSnapshot struct {
+	Name             string  `json:"name"`
+	Incarnation      uint64  `json:"incarnation"`
+	Leaving          bool    `json:"leaving"`
+	Unreachable      bool    `json:"unreachable"`
+	Drained          bool    `json:"drained"`
+	Ejected          bool    `json:"ejected"`
+	FailureRate      float64 `json:"failureRate"`
+	InFlight         int     `json:"inFlight"`
+	Allowed          int     `json:"allowed"`
+	Limit            float64 `json:"limit"`
+	Occupancy        float64 `json:"occupancy"`
+	DecodeMS         float64 `json:"decodeMilliseconds"`
+	PrefillRate      float64 `json:"prefillTokensPerSecond"`
+	AnswerMS         float64 `json:"answerMilliseconds"`
+	PrefixBlocks     int     `json:"prefixBlocks"`
+	PrefixConfidence float64 `json:"prefixConfidence"`
+}
+
+// PeerState is the age of what is known of another instance.
+type PeerState struct {
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"`
+}
+
+// State returns a snapshot.
+func (s *Scheduler) State(now time.Time) State {
+	state := State{
+		At:       now,
+		InFlight: s.inFlight,
+		Counters: s.counters,
+		Rejected: make(map[RejectReason]uint64, len(rejectReasons)),
+		Tiers:    []TierState{},
+		Services: []ServiceState{},
+		Engines:  []EngineSnapshot{},
+		Peers:    []PeerState{},
+	}
+	for i, reason := range rejectReasons {
+		state.Rejected[reason] = s.counters.Rejected[i]
+	}
+	if tier := s.floors.lowest(now); tier != noFloor {
+		state.Floor = &FloorState{Tier: tier, Until: s.floors.until}
+	}
+	for i, tier := range s.policy.Tiers {
+		state.Tiers = append(state.Tiers, TierState{Name: tier.Name, Waiting: s.waiting[i]})
+	}
+	for _, sv := range s.ordered {
+		state.Services = append(state.Services, s.serviceState(sv))
+	}
+	for _, m := range s.members {
+		state.Engines = append(state.Engines, m.snapshot(now))
+	}
+	for name, p := range s.peers {
+		state.Peers = append(state.Peers, PeerState{Instance: name, At: p.at})
+	}
+	return state
+}
+
+func (s *Scheduler) serviceState(sv *service) ServiceState {
+	state := ServiceState{
+		Name:        sv.config.Name,
+		Usable:      sv.usable,
+		Open:        len(sv.open),
+		Waiting:     sv.waiting,
+		Places:      sv.places,
+		Stretch:     sv.stretch,
+		MeanOutput:  sv.output,
+		DecodeMS:    sv.decode * 1000,
+		PrefillRate: 1 / sv.prefill,
+		Flows:       []FlowState{},
+	}
+	for _, g := range sv.groups {
+		for _, f := range g.active {
+			state.Flows = append(state.Flows, FlowState{
+				Tier:      s.policy.Tiers[g.tier].Name,
+				Workspace: s.policy.Workspaces[f.workspace].Name,
+				Waiting:   f.length(),
+				Late:      f.late.length,
+				Work:      f.work,
+			})
+		}
+	}
+	return state
+}
+
+func (m *server) snapshot(now time.Time) EngineSnapshot {
+	v := m.view
+	return EngineSnapshot{
+		Name:             m.config.Name,
+		Incarnation:      m.lifecycle.Incarnation,
+		Leaving:          m.lifecycle.Leaving,
+		Unreachable:      m.lifecycle.Unreachable,
+		Drained:          m.drained,
+		Ejected:          v.Health.Ejected(),
+		FailureRate:      v.Health.FailureRate(),
+		InFlight:         v.InFlight(),
+		Allowed:          v.Allowed(),
+		Limit:            v.Limit(),
+		Occupancy:        v.Occupancy(now),
+		DecodeMS:         v.DecodeSeconds(now) * 1000,
+		PrefillRate:      1 / v.PrefillSeconds(),
+		AnswerMS:         v.AnswerSeconds(now) * 1000,
+		PrefixBlocks:     v.Prefix.Blocks(),
+		PrefixConfidence: v.Prefix.Confidence(),
+	}
+}
