Use the resolved view of the configuration for requests

Cause: the handler compiled the document itself, beside configuration.Resolve. Change: one compiled view; method-not-allowed becomes a problem of its own. Conclusion: the decision on route, tier and workspace stands in one place.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -172,15 +172,17 @@
 	return err
 }
 
+// configure puts a version in force: first for the scheduler, so that no request is classified by
+// a version that the scheduler does not know yet.
 func (i *Instance) configure(version configuration.Version, document *configuration.Document) error {
-	policy, err := entry.Policy(document, i.options.DataCentre)
+	view, err := configuration.Resolve(version, document)
 	if err != nil {
-		return err
+		return fmt.Errorf("instance: version %d: %w", version, err)
 	}
-	if err := i.dispatch.Configure(policy); err != nil {
-		return err
+	if err := i.dispatch.Configure(view.Policy(i.options.DataCentre)); err != nil {
+		return fmt.Errorf("instance: version %d: %w", version, err)
 	}
-	i.entry.Configure(version, document)
+	i.entry.Configure(view)
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,9 +45,7 @@
 func New(o Options) *Handler { return &Handler{options: o} }
 
 // Configure puts a configuration in force for requests that arrive from now on.
-func (h *Handler) Configure(version configuration.Version, document *configuration.Document) {
-	h.view.Store(newView(version, document))
-}
+func (h *Handler) Configure(v *configuration.View) { h.view.Store(newView(v)) }
 
 // Ready reports whether requests are admitted.
 func (h *Handler) Ready() bool { return h.view.Load() != nil && !h.stopping.Load() }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -16,13 +16,6 @@
 	"github.com/primrosebeam/primrosebeam/scheduler"
 )
 
-// Labels that the instance sets on every request; callers cannot set them.
-const (
-	labelWorkspace = "workspace"
-	labelService   = "service"
-	labelRoute     = "route"
-)
-
 // exchange is one request of a caller and its answer.
 type exchange struct {
 	handler  *Handler
@@ -31,8 +24,8 @@
 	incoming *http.Request
 
 	view      *view
-	workspace string
-	route     route
+	workspace *configuration.Workspace
+	route     configuration.ResolvedRoute
 	labels    label.Set
 	tier      int
 	body      []byte
@@ -55,16 +48,21 @@
 		return &problem
 	}
 	token, _ := strings.CutPrefix(x.incoming.Header.Get("Authorization"), "Bearer ")
-	workspace, known := x.view.workspace(token)
+	workspace, known := x.view.Workspace(token)
 	if !known {
 		return &problemToken
 	}
 	x.workspace = workspace
-	found, known := x.view.route(x.incoming.Method, x.incoming.URL.Path)
-	if !known {
+	route, err := x.view.Route(x.incoming.Method, x.incoming.URL.Path)
+	var method *configuration.MethodError
+	switch {
+	case errors.As(err, &method):
+		x.writer.Header().Set("Allow", strings.Join(method.Allowed, ", "))
+		return &problemMethod
+	case err != nil:
 		return &problemNoRoute
 	}
-	x.route = found
+	x.route = route
 	if problem := x.readBody(); problem != nil {
 		return problem
 	}
@@ -82,7 +80,7 @@
 		return problemBody.with("the body broke off")
 	}
 	x.body = body
-	if x.route.service.Kind != configuration.KindModel || len(body) == 0 {
+	if x.route.Service.Kind != configuration.KindModel || len(body) == 0 {
 		return nil
 	}
 	var request completion
@@ -98,17 +96,14 @@
 	if err != nil {
 		return problemLabels.with(err.Error())
 	}
-	labels[labelWorkspace] = x.workspace
-	labels[labelService] = x.route.service.Name
-	labels[labelRoute] = x.route.path
 	x.labels = labels
-	x.tier = x.view.tier(labels)
+	x.tier = x.view.Tier(labels, x.workspace, x.route)
 	asked := x.incoming.Header.Get(HeaderTier)
 	if asked == "" {
 		return nil
 	}
-	index := x.view.tierIndex(asked)
-	if index < 0 {
+	index, known := x.view.TierIndex(asked)
+	if !known {
 		return problemTier.with(asked)
 	}
 	x.tier = max(x.tier, index) // A caller may ask for a lower tier, never for a higher one.
@@ -118,12 +113,12 @@
 func (x *exchange) schedulerRequest() scheduler.Request {
 	return scheduler.Request{
 		ID:           scheduler.RequestID(x.id),
-		Workspace:    x.workspace,
-		Service:      x.route.service.Name,
+		Workspace:    x.workspace.Name,
+		Service:      x.route.Service.Name,
 		Tier:         x.tier,
 		Labels:       x.labels,
-		Idempotent:   x.route.idempotent,
-		Redispatch:   x.route.redispatch && x.route.idempotent,
+		Idempotent:   x.route.Idempotent,
+		Redispatch:   x.route.Redispatch && x.route.Idempotent,
 		PromptTokens: x.estimate.promptTokens,
 		OutputTokens: x.estimate.outputTokens,
 		Prefix:       x.estimate.prefix,
@@ -133,7 +128,7 @@
 // outlivesCaller reports whether the request goes on when its caller leaves: breaking off a
 // non-idempotent call would leave its outcome unknown.
 func (x *exchange) outlivesCaller() bool {
-	return !x.route.idempotent && x.route.service.Kind == configuration.KindPlain
+	return !x.route.Idempotent && x.route.Service.Kind == configuration.KindPlain
 }
 
 // attemptContext returns the context of the work after dispatch.
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -19,7 +19,7 @@
 		fmt.Sprintf("primrosebeam_entry_request_seconds{tier=%q}", tier)).Update(duration.Seconds())
 	x.handler.options.Logger.Info().
 		Str("request", x.id).
-		Str("workspace", x.workspace).
+		Str("workspace", x.workspaceName()).
 		Str("tier", tier).
 		Str("engine", x.engine).
 		Str("outcome", string(x.outcome)).
@@ -30,10 +30,17 @@
 }
 
 func (x *exchange) tierName() string {
-	if x.view == nil || x.route.service == nil || x.tier >= len(x.view.document.Tiers) {
+	if x.view == nil || x.route.Service == nil || x.tier >= len(x.view.Document().Tiers) {
 		return "none"
 	}
-	return x.view.document.Tiers[x.tier].Name
+	return x.view.Document().Tiers[x.tier].Name
+}
+
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
 }
 
 // count adds one to a counter of this package; name may carry labels.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -40,7 +40,7 @@
 
 func (r *relay) isEventStream() bool {
 	kind, _, err := mime.ParseMediaType(r.response.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream" && r.exchange.route.service.Kind == configuration.KindModel
+	return err == nil && kind == "text/event-stream" && r.exchange.route.Service.Kind == configuration.KindModel
 }
 
 // relayAnswer holds an answer of bounded size until it is whole; a larger one is passed on as it comes.
