Add the demo

Cause: a newcomer needs one command that shows the product at work. Change: primrosebeam demo with three instances, six stand-in engines, a mixed load over three tiers and five workspaces, and a check of every answer.

--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,278 @@
+// Package demo runs three instances and stand-in engines in one process on loopback ports, sends
+// a mixed load through the real HTTP and WebSocket paths, and checks every answer.
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/instance"
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+	"github.com/primrosebeam/primrosebeam/label"
+	"github.com/primrosebeam/primrosebeam/strictjson"
+)
+
+const (
+	modelEngines  = 4
+	plainEngines  = 2
+	tokenInterval = 2 * time.Millisecond
+	plainDelay    = 3 * time.Millisecond
+	startTimeout  = 20 * time.Second
+)
+
+// centres are the data centres of the three instances.
+var centres = []string{"bern", "olten", "aarau"}
+
+// Options configures a demo.
+type Options struct {
+	Duration time.Duration // of the load
+	Log      io.Writer     // log lines of the instances
+}
+
+// NotReadyError reports instances that did not become ready.
+type NotReadyError struct{ Instance string }
+
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("demo: %s did not become ready", e.Instance)
+}
+
+// Run runs the demo and returns what was measured.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	folder, err := os.MkdirTemp("", "primrosebeam-demo")
+	if err != nil {
+		return nil, fmt.Errorf("demo: data folder: %w", err)
+	}
+	defer os.RemoveAll(folder)
+	engines, err := startEngines()
+	if err != nil {
+		return nil, err
+	}
+	defer engines.close()
+	fleet, err := startFleet(folder, engines, o.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.stop()
+	if err := fleet.waitReady(ctx); err != nil {
+		return nil, err
+	}
+	load := newLoad(fleet.callers())
+	load.run(ctx, o.Duration)
+	return load.report(engines), nil
+}
+
+// engineSet is the stand-ins of a demo.
+type engineSet struct {
+	models    []*standin.Model
+	plains    []*standin.Plain
+	documents []configuration.Engine
+	servers   []*http.Server
+}
+
+func startEngines() (*engineSet, error) {
+	set := &engineSet{}
+	for n := range modelEngines {
+		model := standin.NewModel(standin.ModelOptions{
+			Name:          fmt.Sprintf("model-%d", n),
+			TokenInterval: tokenInterval * time.Duration(1+n%2), // engines of two speeds
+		})
+		set.models = append(set.models, model)
+		if err := set.serve(fmt.Sprintf("model-%d", n), "model", model); err != nil {
+			return nil, err
+		}
+	}
+	for n := range plainEngines {
+		plain := standin.NewPlain(fmt.Sprintf("orders-%d", n), plainDelay)
+		set.plains = append(set.plains, plain)
+		if err := set.serve(plain.Name, "plain", plain); err != nil {
+			return nil, err
+		}
+	}
+	return set, nil
+}
+
+func (s *engineSet) serve(name, kind string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("demo: engine: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: startTimeout}
+	s.servers = append(s.servers, server)
+	s.documents = append(s.documents, configuration.Engine{
+		Name: name, URL: "http://" + listener.Addr().String(),
+		DataCentre: centres[len(s.documents)%len(centres)], Labels: label.Set{"kind": kind},
+	})
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (s *engineSet) close() {
+	for _, server := range s.servers {
+		server.Close()
+	}
+}
+
+// fleet is the instances of a demo.
+type fleet struct {
+	instances []*instance.Instance
+	requests  context.CancelFunc
+	done      []chan error
+}
+
+func startFleet(folder string, engines *engineSet, log io.Writer) (*fleet, error) {
+	addresses, err := freeAddresses(len(centres))
+	if err != nil {
+		return nil, err
+	}
+	running, stop := context.WithCancel(context.Background())
+	f := &fleet{requests: stop}
+	document := document(engines.documents)
+	for n := range centres {
+		i, err := instance.New(f.options(n, folder, addresses, document, log))
+		if err != nil {
+			f.stop()
+			return nil, err
+		}
+		done := make(chan error, 1)
+		go func() { done <- i.Run(running, context.Background()) }()
+		f.instances = append(f.instances, i)
+		f.done = append(f.done, done)
+	}
+	return f, nil
+}
+
+func (f *fleet) options(n int, folder string, addresses []string, document *configuration.Document, log io.Writer) instance.Options {
+	roles := instance.Roles{Control: true, Ledger: true}
+	name := instanceName(n)
+	options := instance.Options{
+		Name:          name,
+		DataCentre:    centres[n],
+		Listen:        instance.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Instances: addresses[n]},
+		Roles:         roles,
+		DataFolder:    folder + "/" + name,
+		SharedKey:     []byte("shared key of the demo"),
+		OperatorToken: rand.Text(),
+		Configuration: document,
+		Limits: instance.Limits{
+			HeaderBytes: 32 << 10, BodyBytes: 1 << 20, AnswerBytes: 1 << 20,
+			Connections: 4096, Requests: 4096, ReadTimeout: 10 * time.Second,
+		},
+		Logger: zerolog.New(log).Level(zerolog.WarnLevel).With().Timestamp().Str("instance", name).Logger(),
+	}
+	for other, address := range addresses {
+		if other != n {
+			options.Peers = append(options.Peers, instance.Peer{
+				Name: instanceName(other), DataCentre: centres[other], Address: address, Roles: roles,
+			})
+		}
+	}
+	return options
+}
+
+func instanceName(n int) string { return centres[n] + "-1" }
+
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("demo: address: %w", err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (f *fleet) callers() []string {
+	var addresses []string
+	for _, i := range f.instances {
+		addresses = append(addresses, i.CallerAddress())
+	}
+	return addresses
+}
+
+func (f *fleet) waitReady(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for n, i := range f.instances {
+		for !ready(ctx, i.CallerAddress()) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return &NotReadyError{Instance: instanceName(n)}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *fleet) stop() {
+	f.requests()
+	for _, done := range f.done {
+		<-done
+	}
+}
+
+// workspaces of the demo; the large ones send several times as much as the small ones.
+var workspaces = []struct {
+	name    string
+	callers int // concurrent callers
+}{
+	{"large-1", 24}, {"large-2", 16}, {"small-1", 4}, {"small-2", 4}, {"small-3", 4},
+}
+
+func token(workspace string) string { return "demo-token-" + workspace }
+
+func document(engines []configuration.Engine) *configuration.Document {
+	idempotent := true
+	d := &configuration.Document{
+		Tiers: []configuration.Tier{
+			{Name: "urgent", QueueLimit: 500, Deadline: strictjson.Duration(5 * time.Second),
+				FirstToken: strictjson.Duration(420 * time.Millisecond), BetweenTokens: strictjson.Duration(52 * time.Millisecond)},
+			{Name: "normal", QueueLimit: 500, Deadline: strictjson.Duration(20 * time.Second)},
+			{Name: "batch", QueueLimit: 500, Deadline: strictjson.Duration(60 * time.Second)},
+		},
+		TierRules: []configuration.TierRule{
+			{When: "route=/orders", Tier: "urgent"},
+			{When: "work=report", Tier: "batch"},
+			{When: "", Tier: "normal"},
+		},
+		Services: []configuration.Service{
+			{Name: "chat", Kind: configuration.KindModel, Engines: "kind=model", Routes: []configuration.Route{
+				{Path: "/v1/chat/completions", Methods: []string{http.MethodPost}, Idempotent: &idempotent},
+			}},
+			{Name: "orders", Kind: configuration.KindPlain, Engines: "kind=plain", Routes: []configuration.Route{
+				{Path: "/orders"}, {Path: "/status/"},
+			}},
+		},
+		Engines: engines,
+	}
+	for _, w := range workspaces {
+		sum := sha256.Sum256([]byte(token(w.name)))
+		d.Workspaces = append(d.Workspaces, configuration.Workspace{Name: w.name, TokenSHA256: []string{hex.EncodeToString(sum[:])}})
+	}
+	return d
+}
