--- /dev/null
+++ b/internal/link/call.go
@@ -0,0 +1,191 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"github.com/primrosebeam/primrosebeam/ring"
+)
+
+// Codes of *RemoteError that the link itself answers with.
+const (
+	CodeBusy      = "link.busy"       // all handlers of the kind are busy and enough calls wait
+	CodeNoHandler = "link.no-handler" // the peer does not handle the kind
+	CodeTooLong   = "link.too-long"   // the reply does not fit into a frame
+	CodeInternal  = "internal"        // the handler's error has no code
+)
+
+// Send queues a one-way message. It never blocks. Callers may drop a message that is refused with
+// *FullError when a later one supersedes it: heartbeats, summaries and floors. Consensus messages
+// may be dropped as well, since the core repeats them. A message whose loss matters must be a Call.
+// It returns *FullError, *UnknownPeerError, *EncodeError, *TooLongError or *ClosedError.
+func (n *Node) Send(to string, kind Kind, body any) error {
+	data, err := n.encode(frameOneWay, kind, 0, body)
+	if err != nil {
+		return err
+	}
+	if to == n.o.Name {
+		return n.sendLocal(data)
+	}
+	p, err := n.peer(to)
+	if err != nil {
+		return err
+	}
+	return p.enqueue(data, nil)
+}
+
+// lastCall numbers calls across peers and nodes; a number is never used again in a process.
+var lastCall atomic.Uint64
+
+// Call sends a message and decodes the reply into reply, which may be nil. It returns *UnknownPeerError,
+// *UnreachableError, *RemoteError, *FullError (nothing was sent), *CancelledError, which wraps the
+// context's error, *EncodeError, *TooLongError, *DecodeError or *ClosedError.
+func (n *Node) Call(ctx context.Context, to string, kind Kind, body, reply any) error {
+	call := &pending{number: lastCall.Add(1), kind: kind, done: make(chan struct{})}
+	data, err := n.encode(frameCall, kind, call.number, body)
+	if err != nil {
+		return err
+	}
+	if to == n.o.Name {
+		return n.callLocal(ctx, data, reply)
+	}
+	p, err := n.peer(to)
+	if err != nil {
+		return err
+	}
+	if err := p.enqueue(data, call); err != nil {
+		return err
+	}
+	select {
+	case <-call.done:
+	case <-ctx.Done():
+		if sent, ok := p.cancel(call); ok {
+			return &CancelledError{Peer: to, Sent: sent, Cause: ctx.Err()}
+		}
+		<-call.done
+	}
+	if call.err != nil {
+		return call.err
+	}
+	return decodeReply(call.reply, reply)
+}
+
+func decodeReply(f frame, reply any) error {
+	if reply == nil {
+		return nil
+	}
+	return Decode(f.Body, reply)
+}
+
+func (n *Node) encode(t frameType, kind Kind, number uint64, body any) ([]byte, error) {
+	encoded, err := Encode(body)
+	if err != nil {
+		return nil, err
+	}
+	return encodeFrame(frame{
+		Type:        t,
+		Kind:        kind,
+		Sender:      n.o.Name,
+		Incarnation: n.o.Incarnation,
+		Call:        number,
+		Body:        encoded,
+	}, n.o.MaxFrameBytes)
+}
+
+// sendLocal delivers to the own handler, decoded from its encoding like any other message.
+func (n *Node) sendLocal(data []byte) error {
+	f, err := decodeFrame(data)
+	if err != nil {
+		return err
+	}
+	h, known := n.handlers[f.Kind]
+	if !known {
+		n.metrics.noHandler.Inc()
+		return nil
+	}
+	return n.deliverLocal(&job{handler: h, from: n.id.self, frame: f})
+}
+
+func (n *Node) callLocal(ctx context.Context, data []byte, reply any) error {
+	f, err := decodeFrame(data)
+	if err != nil {
+		return err
+	}
+	h, known := n.handlers[f.Kind]
+	if !known {
+		return &RemoteError{Peer: n.o.Name, Code: CodeNoHandler}
+	}
+	answers := make(chan frame, 1)
+	j := &job{handler: h, from: n.id.self, frame: f, reply: func(call frame, reply any, err error) {
+		answers <- n.answer(call, reply, err)
+	}}
+	if err := n.deliverLocal(j); err != nil {
+		return err
+	}
+	select {
+	case f = <-answers:
+	case <-ctx.Done():
+		return &CancelledError{Peer: n.o.Name, Sent: true, Cause: ctx.Err()}
+	case <-n.ctx.Done():
+		return &UnreachableError{Peer: n.o.Name, Sent: true}
+	}
+	if f.Type != frameError {
+		return decodeReply(f, reply)
+	}
+	var failure remoteFailure
+	if err := Decode(f.Body, &failure); err != nil {
+		return err
+	}
+	return &RemoteError{Peer: n.o.Name, Code: failure.Code, Detail: failure.Detail}
+}
+
+func (n *Node) deliverLocal(j *job) error {
+	n.mu.Lock()
+	closing := n.closing
+	n.mu.Unlock()
+	if closing {
+		return &ClosedError{}
+	}
+	err := n.local.deliver(n.ctx, j)
+	var full *ring.FullError
+	if errors.As(err, &full) {
+		return &FullError{Peer: n.o.Name, Capacity: full.Capacity}
+	}
+	return err
+}
+
+// answer builds the frame that replies to a call.
+func (n *Node) answer(call frame, reply any, err error) frame {
+	f := frame{Type: frameReply, Kind: call.Kind, Sender: n.o.Name, Incarnation: n.o.Incarnation, Call: call.Call}
+	if err == nil {
+		f.Body, err = Encode(reply)
+	}
+	if err != nil {
+		f.Type = frameError
+		f.Body = encodeFailure(codeOf(err), err.Error())
+	}
+	return f
+}
+
+func codeOf(err error) string {
+	var coded interface{ Code() string }
+	if errors.As(err, &coded) {
+		return coded.Code()
+	}
+	return CodeInternal
+}
+
+// maxDetailBytes bounds the text of an error so that an answer always fits into a frame.
+const maxDetailBytes = 1024
+
+func encodeFailure(code, detail string) []byte {
+	if len(detail) > maxDetailBytes {
+		detail = detail[:maxDetailBytes]
+	}
+	data, err := Encode(remoteFailure{Code: code, Detail: detail})
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/internal/link/inbound.go
@@ -0,0 +1,216 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// closeGrace bounds the exchange of close frames per connection.
+const closeGrace = 200 * time.Millisecond
+
+type wireKey struct{}
+
+// wireListener wraps accepted connections.
+type wireListener struct {
+	net.Listener
+	unbound *traffic // counts bytes before the sender's name is known
+}
+
+func (l *wireListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newWire(c, l.unbound, nil), nil
+}
+
+// serve upgrades one connection, authenticates it and reads until it ends.
+func (n *Node) serve(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != urlPath {
+		http.NotFound(rw, r)
+		return
+	}
+	select {
+	case n.unauth <- struct{}{}:
+	default:
+		n.refused("", &RefusedError{Reason: ReasonTooMany})
+		http.Error(rw, "too many connections", http.StatusServiceUnavailable)
+		return
+	}
+	s, err := n.authenticate(rw, r)
+	<-n.unauth
+	if err != nil {
+		n.refused("", err)
+		return
+	}
+	defer s.closeNow()
+	if err := n.addInbound(s); err != nil {
+		n.refused(s.peer.Name, err)
+		return
+	}
+	defer n.removeInbound(s)
+	n.receive(s)
+}
+
+func (n *Node) authenticate(rw http.ResponseWriter, r *http.Request) (*session, error) {
+	w, _ := r.Context().Value(wireKey{}).(*wire)
+	ws, err := websocket.Accept(rw, r, nil)
+	if err != nil {
+		return nil, err
+	}
+	ws.SetReadLimit(maxHandshakeBytes)
+	timed, cancel := context.WithTimeout(n.ctx, n.o.HandshakeTimeout)
+	defer cancel()
+	sender, err := n.id.listen(timed, ws, func(name string) bool { return n.bind(w, name) })
+	if err != nil {
+		closeRefused(w, ws)
+		return nil, err
+	}
+	return newSession(n.ctx, ws, w, sender, n.o.MaxFrameBytes), nil
+}
+
+// closeRefused ends a connection that was not authenticated. The close frame is a courtesy to a
+// dialler with wrong settings, so it must not hold up this side.
+func closeRefused(w *wire, ws *websocket.Conn) {
+	timer := time.AfterFunc(closeGrace, func() { _ = w.Close() })
+	defer timer.Stop()
+	_ = ws.Close(websocket.StatusPolicyViolation, "refused")
+	_ = w.Close()
+}
+
+// bind attributes a connection to the peer that it claims to come from.
+func (n *Node) bind(w *wire, name string) bool {
+	n.mu.Lock()
+	p, known := n.peers[name]
+	n.mu.Unlock()
+	if known {
+		w.bind(p.count(), p.gate)
+	}
+	return known
+}
+
+// addInbound makes s the connection of its sender. A sender holds one connection at a time, so an
+// older one is dead or belongs to an earlier incarnation, and is closed.
+func (n *Node) addInbound(s *session) error {
+	n.mu.Lock()
+	if n.closing {
+		n.mu.Unlock()
+		return &ClosedError{}
+	}
+	older := n.newest[s.peer.Name]
+	if older != nil && older.peer.Incarnation > s.peer.Incarnation {
+		n.mu.Unlock()
+		return &RefusedError{Peer: s.peer.Name, Reason: ReasonIncarnation}
+	}
+	n.newest[s.peer.Name] = s
+	n.inbound[s] = struct{}{}
+	p := n.peers[s.peer.Name]
+	n.mu.Unlock()
+	if older != nil {
+		older.abort(&ClosedError{})
+	}
+	p.heard()
+	return nil
+}
+
+func (n *Node) removeInbound(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.inbound, s)
+	if n.newest[s.peer.Name] == s {
+		delete(n.newest, s.peer.Name)
+	}
+}
+
+func (n *Node) addOutbound(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.outbound[s] = struct{}{}
+}
+
+func (n *Node) removeOutbound(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.outbound, s)
+}
+
+// receive hands the messages of a connection to their handlers until it ends.
+func (n *Node) receive(s *session) {
+	own := newLanes(n.o.HandlersPerKind, n.o.QueuePerKind, &n.handling)
+	for {
+		f, err := s.read()
+		if err == nil && f.Type != frameOneWay && f.Type != frameCall {
+			err = &RefusedError{Peer: s.peer.Name, Reason: ReasonUnexpected}
+		}
+		if err != nil {
+			n.refused(s.peer.Name, err)
+			return
+		}
+		n.dispatch(s, own, f)
+	}
+}
+
+func (n *Node) dispatch(s *session, own *lanes, f frame) {
+	j := &job{from: s.peer, frame: f}
+	if f.Type == frameCall {
+		j.reply = func(call frame, reply any, err error) { n.reply(s, n.answer(call, reply, err)) }
+	}
+	h, known := n.handlers[f.Kind]
+	if !known {
+		n.metrics.noHandler.Inc()
+		n.fail(s, j, CodeNoHandler)
+		return
+	}
+	j.handler = h
+	if err := own.deliver(s.ctx, j); err != nil {
+		n.metrics.busy.Inc()
+		n.fail(s, j, CodeBusy)
+	}
+}
+
+// fail answers a call with a code of the link. It writes from a goroutine of its own only for
+// calls, whose number the caller bounds, since the reader must not wait for the writer.
+func (n *Node) fail(s *session, j *job, code string) {
+	if j.reply == nil {
+		return
+	}
+	f := frame{Type: frameError, Kind: j.frame.Kind, Sender: n.o.Name, Incarnation: n.o.Incarnation, Call: j.frame.Call}
+	f.Body = encodeFailure(code, string(j.frame.Kind))
+	go n.reply(s, f)
+}
+
+func (n *Node) reply(s *session, f frame) {
+	data, err := encodeFrame(f, n.o.MaxFrameBytes)
+	var long *TooLongError
+	if errors.As(err, &long) {
+		f.Type = frameError
+		f.Body = encodeFailure(CodeTooLong, err.Error())
+		data, err = encodeFrame(f, n.o.MaxFrameBytes)
+	}
+	if err == nil {
+		err = s.write(data)
+	}
+	if err != nil {
+		s.abort(err)
+	}
+}
+
+// refused counts and logs a refusal; the plain end of a connection is neither.
+func (n *Node) refused(peer string, err error) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		n.o.Logger.Debug().Str("peer", peer).Err(err).Msg("connection ended")
+		return
+	}
+	if peer == "" {
+		peer = refused.Peer
+	}
+	n.metrics.refusal(refused.Reason).Inc()
+	n.o.Logger.Warn().Str("peer", peer).Str("reason", string(refused.Reason)).Bool("remote", refused.Remote).
+		Err(err).Msg("connection refused")
+}
--- /dev/null
+++ b/internal/link/metrics.go
@@ -0,0 +1,57 @@
+package link
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// nodeMetrics holds the metrics of one node.
+type nodeMetrics struct {
+	set         *metrics.Set
+	unbound     *traffic
+	dials       *metrics.Counter
+	full        *metrics.Counter
+	busy        *metrics.Counter
+	noHandler   *metrics.Counter
+	lateReplies *metrics.Counter
+}
+
+func newNodeMetrics(set *metrics.Set) *nodeMetrics {
+	m := &nodeMetrics{
+		set:         set,
+		dials:       set.GetOrCreateCounter("primrosebeam_link_dials_total"),
+		full:        set.GetOrCreateCounter("primrosebeam_link_ring_full_total"),
+		busy:        set.GetOrCreateCounter("primrosebeam_link_handlers_busy_total"),
+		noHandler:   set.GetOrCreateCounter("primrosebeam_link_no_handler_total"),
+		lateReplies: set.GetOrCreateCounter("primrosebeam_link_late_replies_total"),
+	}
+	m.unbound = m.peer("")
+	return m
+}
+
+// peer returns the counters of a peer; the empty name stands for senders that are not known yet.
+func (m *nodeMetrics) peer(name string) *traffic {
+	counter := func(metric string) *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf("primrosebeam_link_%s{peer=%q}", metric, name))
+	}
+	return &traffic{
+		bytesIn:     counter("received_bytes_total"),
+		bytesOut:    counter("sent_bytes_total"),
+		messagesIn:  counter("received_messages_total"),
+		messagesOut: counter("sent_messages_total"),
+		dropped:     counter("dropped_messages_total"),
+	}
+}
+
+// refusal returns the counter of a reason. A reason received from the other side is one of a fixed set
+// as well: an unknown one is counted as "other" so that a peer cannot create metrics.
+func (m *nodeMetrics) refusal(r Reason) *metrics.Counter {
+	switch r {
+	case ReasonUnknownSender, ReasonWrongPeer, ReasonWrongKey, ReasonVersion, ReasonTooLong, ReasonUndecodable,
+		ReasonSender, ReasonUnexpected, ReasonIncarnation, ReasonTooMany, ReasonTimeout:
+	default:
+		r = "other"
+	}
+	return m.set.GetOrCreateCounter(fmt.Sprintf("primrosebeam_link_refused_total{reason=%q}", string(r)))
+}
--- /dev/null
+++ b/internal/link/node.go
@@ -0,0 +1,414 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxFrameBytes    = 1 << 20
+	DefaultRingCapacity     = 1024 // messages per peer
+	DefaultMaxCalls         = 1024 // outstanding calls per peer
+	DefaultHandlersPerKind  = 64   // calls of one kind handled at once per connection
+	DefaultQueuePerKind     = 256  // messages of one kind that wait for a handler per connection
+	DefaultHandshakeTimeout = 2 * time.Second
+	DefaultWriteTimeout     = 2 * time.Second
+	DefaultIdleTimeout      = time.Minute
+	DefaultCloseTimeout     = 2 * time.Second
+)
+
+const (
+	// A silent peer is noticed within pingEvery + the rest of silentAfter + watchEvery, which is under 3 s.
+	pingEvery   = time.Second
+	silentAfter = 2500 * time.Millisecond
+	watchEvery  = 250 * time.Millisecond
+	// A watch that comes this late means that this process was frozen: what waits in the kernel's
+	// buffers was not read yet, so silence is measured anew.
+	lateWatch = time.Second
+
+	backoffMin = 50 * time.Millisecond
+	backoffMax = time.Second
+	// A connection that ends sooner counts as a failed dial, so that a peer which closes
+	// connections right after authentication is not dialled for every message.
+	steadyAfter = time.Second
+
+	pollEvery = 5 * time.Millisecond // while closing
+
+	maxUnauthenticated = 64 // connections in the handshake at once
+	urlPath            = "/link"
+)
+
+// Options configures a Node. Name, DataCentre, SharedKey and either ListenAddress or Listener are required.
+type Options struct {
+	Name        string // at most 64 of a-z, A-Z, 0-9, '.', '-', '_'
+	DataCentre  string // likewise
+	Incarnation uint64 // grows with each start of the instance
+	SharedKey   []byte // at least 16 bytes, the same on all instances; never logged
+
+	ListenAddress string       // IP:port
+	Listener      net.Listener // used instead of ListenAddress when set
+	Peers         map[string]string
+
+	MaxFrameBytes    int           // bytes
+	RingCapacity     int           // messages per peer that wait for the connection
+	MaxCalls         int           // outstanding calls per peer
+	HandlersPerKind  int           // calls of one kind handled at once per connection
+	QueuePerKind     int           // messages of one kind waiting for a handler per connection
+	HandshakeTimeout time.Duration // dialling and authentication together
+	WriteTimeout     time.Duration // one write
+	IdleTimeout      time.Duration // a dialled connection without messages is closed after it
+	CloseTimeout     time.Duration // limit of Close
+
+	AllowCut bool // allows SetCut; for tests only
+	Logger   zerolog.Logger
+	Metrics  *metrics.Set // nil means a set of its own
+}
+
+// Node exchanges messages with the peers of one instance. All methods are safe for concurrent use.
+//
+// Each side dials its own connection for what it sends; replies come back on the same connection.
+// A connection is dialled when the first message for the peer waits, and again after a failure.
+type Node struct {
+	o        Options
+	id       identity
+	metrics  *nodeMetrics
+	handlers map[Kind]Handler
+	local    *lanes
+	handling atomic.Int64   // running handlers
+	writers  sync.WaitGroup // goroutines of peers
+	unauth   chan struct{}
+
+	ctx    context.Context // ends when connections are to be dropped
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	running  bool
+	closing  bool
+	listener net.Listener
+	server   *http.Server
+	peers    map[string]*peer
+	inbound  map[*session]struct{}
+	outbound map[*session]struct{}
+	newest   map[string]*session // newest inbound connection by peer
+	closed   chan struct{}
+}
+
+var _ Caller = (*Node)(nil)
+
+// New checks the options. It returns *OptionsError.
+func New(o Options) (*Node, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	o.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		o:        o,
+		id:       identity{self: Sender{Name: o.Name, DataCentre: o.DataCentre, Incarnation: o.Incarnation}, key: o.SharedKey},
+		metrics:  newNodeMetrics(o.Metrics),
+		handlers: map[Kind]Handler{},
+		unauth:   make(chan struct{}, maxUnauthenticated),
+		ctx:      ctx,
+		cancel:   cancel,
+		listener: o.Listener,
+		peers:    map[string]*peer{},
+		inbound:  map[*session]struct{}{},
+		outbound: map[*session]struct{}{},
+		newest:   map[string]*session{},
+		closed:   make(chan struct{}),
+	}
+	n.local = newLanes(o.HandlersPerKind, o.QueuePerKind, &n.handling)
+	for name, address := range o.Peers {
+		if name != o.Name {
+			n.peers[name] = newPeer(n, name, address)
+		}
+	}
+	return n, nil
+}
+
+func (o *Options) validate() error {
+	if err := validName("Name", o.Name); err != nil {
+		return err
+	}
+	if err := validName("DataCentre", o.DataCentre); err != nil {
+		return err
+	}
+	if len(o.SharedKey) < minSharedKeyBytes {
+		return &OptionsError{Option: "SharedKey", Reason: "shorter than 16 bytes"}
+	}
+	if o.Listener == nil {
+		if _, err := netip.ParseAddrPort(o.ListenAddress); err != nil {
+			return &OptionsError{Option: "ListenAddress", Reason: err.Error()}
+		}
+	}
+	for name, address := range o.Peers {
+		if err := validPeer(name, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validPeer(name, address string) error {
+	if err := validName("Peers", name); err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &OptionsError{Option: "Peers", Reason: name + ": " + err.Error()}
+	}
+	return nil
+}
+
+func validName(option, name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return &OptionsError{Option: option, Reason: "a name has 1 to 64 characters"}
+	}
+	for _, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && c != '.' && c != '-' && c != '_' {
+			return &OptionsError{Option: option, Reason: "a name consists of letters, digits, '.', '-' and '_'"}
+		}
+	}
+	return nil
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
+	setDefault(&o.RingCapacity, DefaultRingCapacity)
+	setDefault(&o.MaxCalls, DefaultMaxCalls)
+	setDefault(&o.HandlersPerKind, DefaultHandlersPerKind)
+	setDefault(&o.QueuePerKind, DefaultQueuePerKind)
+	setDefault(&o.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.CloseTimeout, DefaultCloseTimeout)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+// Handle registers the handler of a kind. It must not be called after Run.
+func (n *Node) Handle(kind Kind, h Handler) { n.handlers[kind] = h }
+
+// SetPeer adds a peer or changes its address, for an instance that was replaced. A connection
+// that is open stays. It returns *OptionsError.
+func (n *Node) SetPeer(name, address string) error {
+	if err := validPeer(name, address); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if name == n.o.Name {
+		return nil
+	}
+	if p, known := n.peers[name]; known {
+		p.setAddress(address)
+		return nil
+	}
+	n.peers[name] = newPeer(n, name, address)
+	return nil
+}
+
+// Address returns the listening address; it is empty before Run unless Options.Listener is set.
+func (n *Node) Address() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listener == nil {
+		return ""
+	}
+	return n.listener.Addr().String()
+}
+
+// Run listens and serves until ctx ends or Close is called, then closes gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(ctx); err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- n.server.Serve(&wireListener{Listener: n.listener, unbound: n.metrics.unbound}) }()
+	go n.watch()
+	var err error
+	select {
+	case <-ctx.Done():
+	case <-n.closed:
+	case err = <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+	}
+	return errors.Join(err, n.Close())
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing || n.running {
+		return &ClosedError{}
+	}
+	n.running = true
+	if n.listener == nil {
+		var config net.ListenConfig
+		l, err := config.Listen(ctx, "tcp", n.o.ListenAddress)
+		if err != nil {
+			return err
+		}
+		n.listener = l
+	}
+	n.server = &http.Server{
+		Handler:           http.HandlerFunc(n.serve),
+		ReadHeaderTimeout: n.o.HandshakeTimeout,
+		MaxHeaderBytes:    8 << 10,
+		ErrorLog:          log.New(n.o.Logger, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, wireKey{}, c)
+		},
+	}
+	return nil
+}
+
+// watch closes connections on which the peer no longer answers.
+func (n *Node) watch() {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-n.ctx.Done():
+			return
+		}
+		late := time.Since(last) > watchEvery+lateWatch
+		last = time.Now()
+		for _, s := range n.sessions() {
+			s.check(late, n.o.WriteTimeout)
+		}
+	}
+}
+
+func (n *Node) sessions() []*session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]*session, 0, len(n.inbound)+len(n.outbound))
+	for s := range n.inbound {
+		all = append(all, s)
+	}
+	for s := range n.outbound {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Close refuses new messages, lets queued messages leave, outstanding calls and running handlers end,
+// and then closes the connections; all of it within Options.CloseTimeout.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closing {
+		n.mu.Unlock()
+		<-n.ctx.Done()
+		return nil
+	}
+	n.closing = true
+	close(n.closed)
+	peers := n.peerList()
+	server := n.server
+	n.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.Background(), n.o.CloseTimeout)
+	defer cancel()
+	for _, p := range peers {
+		p.stop()
+	}
+	wait(ctx, &n.writers)
+	n.waitHandlers(ctx)
+	for _, s := range n.sessions() {
+		s.closeGracefully()
+	}
+	n.cancel()
+	var err error
+	switch {
+	case server != nil:
+		err = server.Close()
+	case n.listener != nil:
+		err = n.listener.Close()
+	}
+	for _, s := range n.sessions() {
+		s.closeNow()
+	}
+	return err
+}
+
+// wait returns when the group is done or ctx ends.
+func wait(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) waitHandlers(ctx context.Context) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for n.handling.Load() > 0 && ctx.Err() == nil {
+		<-ticker.C
+	}
+}
+
+// peerList requires n.mu.
+func (n *Node) peerList() []*peer {
+	peers := make([]*peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+func (n *Node) peer(name string) (*peer, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, known := n.peers[name]
+	switch {
+	case !known:
+		return nil, &UnknownPeerError{Peer: name}
+	case n.closing:
+		return nil, &ClosedError{}
+	}
+	return p, nil
+}
+
+// SetCut holds back all traffic with a peer in both directions, as a network partition does, until it
+// is called with false. It exists for tests and returns *CutError unless Options.AllowCut is set.
+func (n *Node) SetCut(peer string, cut bool) error {
+	if !n.o.AllowCut {
+		return &CutError{}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, known := n.peers[peer]
+	if !known {
+		return &UnknownPeerError{Peer: peer}
+	}
+	p.gate.set(cut)
+	return nil
+}
--- /dev/null
+++ b/internal/link/node_test.go
@@ -0,0 +1,433 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+var testKey = []byte("0123456789abcdef0123456789abcdef")
+
+// patience bounds every wait of a test; it is far above what a busy machine needs.
+const patience = 15 * time.Second
+
+type echo struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+type codedError struct{ code string }
+
+func (e *codedError) Error() string { return "coded" }
+func (e *codedError) Code() string  { return e.code }
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// group starts nodes that know each other; change may edit the options of each.
+func group(t testing.TB, names []string, change func(o *Options), prepare func(n *Node)) map[string]*Node {
+	t.Helper()
+	listeners := map[string]net.Listener{}
+	peers := map[string]string{}
+	for _, name := range names {
+		listeners[name] = listen(t)
+		peers[name] = listeners[name].Addr().String()
+	}
+	nodes := map[string]*Node{}
+	for _, name := range names {
+		o := Options{
+			Name: name, DataCentre: "bern", Incarnation: 1, SharedKey: testKey, Listener: listeners[name], Peers: peers,
+			AllowCut: true, Logger: zerolog.Nop(),
+		}
+		if change != nil {
+			change(&o)
+		}
+		nodes[name] = start(t, o, prepare)
+	}
+	return nodes
+}
+
+func start(t testing.TB, o Options, prepare func(n *Node)) *Node {
+	t.Helper()
+	n, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Handle("echo", func(_ context.Context, from Sender, body []byte) (any, error) {
+		var e echo
+		if err := Decode(body, &e); err != nil {
+			return nil, err
+		}
+		return echo{Text: from.Name + ":" + e.Text}, nil
+	})
+	if prepare != nil {
+		prepare(n)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = n.Close()
+		if err := <-done; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return n
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", patience, what)
+}
+
+func callEcho(n *Node, to string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var reply echo
+	err := n.Call(ctx, to, "echo", echo{Text: "x"}, &reply)
+	return reply.Text, err
+}
+
+// Guards against replies that reach another call, and errors that lose their code.
+func TestCallAndSend(t *testing.T) {
+	is := is.New(t)
+	var got atomic.Int64
+	nodes := group(t, []string{"a", "b"}, nil, func(n *Node) {
+		n.Handle("fail", func(context.Context, Sender, []byte) (any, error) { return nil, &codedError{"x.stale"} })
+		n.Handle("plain", func(context.Context, Sender, []byte) (any, error) { return nil, context.Canceled })
+		n.Handle("count", func(context.Context, Sender, []byte) (any, error) { got.Add(1); return nil, nil })
+	})
+	for _, to := range []string{"a", "b"} { // "a" is the node itself
+		var calls sync.WaitGroup
+		for i := range 50 {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				var reply echo
+				text := fmt.Sprint(i)
+				err := nodes["a"].Call(t.Context(), to, "echo", echo{Text: text}, &reply)
+				if err != nil || reply.Text != "a:"+text {
+					t.Errorf("call %d to %s: %q, %v", i, to, reply.Text, err)
+				}
+			}()
+		}
+		calls.Wait()
+		var remote *RemoteError
+		is.True(errors.As(nodes["a"].Call(t.Context(), to, "fail", nil, nil), &remote))
+		is.Equal(remote.Code, "x.stale")
+		is.True(errors.As(nodes["a"].Call(t.Context(), to, "plain", nil, nil), &remote))
+		is.Equal(remote.Code, CodeInternal)
+		is.True(errors.As(nodes["a"].Call(t.Context(), to, "nothing", nil, nil), &remote))
+		is.Equal(remote.Code, CodeNoHandler)
+		before := got.Load()
+		is.NoErr(nodes["a"].Send(to, "count", nil))
+		eventually(t, "one-way message", func() bool { return got.Load() == before+1 })
+	}
+	var unknown *UnknownPeerError
+	is.True(errors.As(nodes["a"].Send("z", "count", nil), &unknown))
+	var long *TooLongError
+	is.True(errors.As(nodes["a"].Send("b", "count", make([]byte, DefaultMaxFrameBytes)), &long))
+	state := nodes["a"].State()
+	is.Equal(len(state.Peers), 1)
+	is.True(state.Peers[0].Connected && state.Peers[0].BytesIn > 0 && state.Peers[0].MessagesOut >= 53)
+}
+
+// Guards against a reply too long for a frame, which must fail only its call.
+func TestLongReplyFailsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	nodes := group(t, []string{"a", "b"}, nil, func(n *Node) {
+		n.Handle("long", func(context.Context, Sender, []byte) (any, error) { return make([]byte, 2*DefaultMaxFrameBytes), nil })
+	})
+	var remote *RemoteError
+	is.True(errors.As(nodes["a"].Call(t.Context(), "b", "long", nil, nil), &remote))
+	is.Equal(remote.Code, CodeTooLong)
+	text, err := callEcho(nodes["a"], "b", patience)
+	is.NoErr(err)
+	is.Equal(text, "a:x")
+}
+
+// Guards against a slow handler that holds up other kinds, and against unbounded waiting for it.
+func TestSlowHandlerDoesNotStopOtherKinds(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	var beats, running, most atomic.Int64
+	nodes := group(t, []string{"a", "b"}, func(o *Options) { o.HandlersPerKind = 2; o.QueuePerKind = 3 }, func(n *Node) {
+		n.Handle("slow", func(context.Context, Sender, []byte) (any, error) {
+			most.Store(max(most.Load(), running.Add(1)))
+			<-release
+			running.Add(-1)
+			return nil, nil
+		})
+		n.Handle("beat", func(context.Context, Sender, []byte) (any, error) { beats.Add(1); return nil, nil })
+	})
+	results := make(chan error, 10)
+	for range 10 {
+		go func() { results <- nodes["a"].Call(t.Context(), "b", "slow", nil, nil) }()
+	}
+	for range 5 { // Two run and three wait; the other five are refused at once.
+		var remote *RemoteError
+		is.True(errors.As(<-results, &remote))
+		is.Equal(remote.Code, CodeBusy)
+	}
+	for i := range int64(20) {
+		is.NoErr(nodes["a"].Send("b", "beat", nil))
+		eventually(t, "heartbeat beside a slow handler", func() bool { return beats.Load() == i+1 })
+	}
+	_, err := callEcho(nodes["a"], "b", patience)
+	is.NoErr(err)
+	close(release)
+	for range 5 {
+		is.NoErr(<-results)
+	}
+	is.Equal(most.Load(), int64(2))
+}
+
+// Guards against one-way messages of a kind that overtake each other.
+func TestOneWayMessagesKeepTheirOrder(t *testing.T) {
+	const messages = 200
+	got := make(chan int, messages)
+	nodes := group(t, []string{"a", "b"}, nil, func(n *Node) {
+		n.Handle("n", func(_ context.Context, _ Sender, body []byte) (any, error) {
+			var i int
+			err := Decode(body, &i)
+			got <- i
+			return nil, err
+		})
+	})
+	for i := range messages {
+		if err := nodes["a"].Send("b", "n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range messages {
+		if v := <-got; v != i {
+			t.Fatalf("message %d arrived as number %d", v, i)
+		}
+	}
+}
+
+// Guards against a Send that blocks, or that loses messages without an error, when the peer is cut off.
+func TestFullRing(t *testing.T) {
+	is := is.New(t)
+	nodes := group(t, []string{"a", "b"}, func(o *Options) { o.RingCapacity = 4; o.MaxCalls = 2 }, nil)
+	is.NoErr(nodes["a"].SetCut("b", true))
+	var full *FullError
+	eventually(t, "a full ring", func() bool { return errors.As(nodes["a"].Send("b", "echo", nil), &full) })
+	is.Equal(full.Capacity, 4)
+	// Two calls outstanding are the limit; a third one is refused and never sent.
+	nodes = group(t, []string{"a", "b"}, func(o *Options) { o.MaxCalls = 2 }, nil)
+	is.NoErr(nodes["a"].SetCut("b", true))
+	results := make(chan error, 2)
+	for range 2 {
+		go func() { results <- nodes["a"].Call(t.Context(), "b", "echo", echo{}, nil) }()
+	}
+	eventually(t, "two calls", func() bool {
+		s := nodes["a"].State()
+		return len(s.Peers) == 1 && s.Peers[0].Calls == 2
+	})
+	is.True(errors.As(nodes["a"].Call(t.Context(), "b", "echo", echo{}, nil), &full))
+	is.Equal(full.Capacity, 2)
+	for range 2 {
+		var unreachable *UnreachableError
+		is.True(errors.As(<-results, &unreachable))
+		is.True(!unreachable.Sent) // The connection was never established.
+	}
+}
+
+// Guards against a call that hangs, or claims that nothing was sent, when the peer silently disappears.
+func TestSilentCutIsNoticed(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{}, 1)
+	nodes := group(t, []string{"a", "b"}, nil, func(n *Node) {
+		n.Handle("hang", func(ctx context.Context, _ Sender, _ []byte) (any, error) {
+			started <- struct{}{}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	})
+	result := make(chan error, 1)
+	go func() { result <- nodes["a"].Call(context.Background(), "b", "hang", nil, nil) }()
+	<-started
+	cut := time.Now()
+	is.NoErr(nodes["a"].SetCut("b", true))
+	var unreachable *UnreachableError
+	is.True(errors.As(<-result, &unreachable))
+	is.True(unreachable.Sent)
+	t.Logf("noticed after %s", time.Since(cut))
+	eventually(t, "the other side notices too", func() bool {
+		s := nodes["b"].State()
+		return !s.Peers[0].Heard
+	})
+	_, err := callEcho(nodes["a"], "b", patience)
+	is.True(errors.As(err, &unreachable))
+	is.True(!unreachable.Sent)
+	is.NoErr(nodes["a"].SetCut("b", false))
+	eventually(t, "reconnect after the cut", func() bool { _, err := callEcho(nodes["a"], "b", patience); return err == nil })
+}
+
+// Guards against a late notice of a silent peer: the sum of the intervals must stay under 3 s.
+func TestSilenceBound(t *testing.T) {
+	if silentAfter+watchEvery >= 3*time.Second || silentAfter < 2*pingEvery {
+		t.Fatal("a silent peer would be noticed too late, or a slow ping would count as silence")
+	}
+}
+
+// Guards against a peer that stays unreachable after its restart, and against messages under its old incarnation.
+func TestReconnectAfterRestart(t *testing.T) {
+	is := is.New(t)
+	lb := listen(t)
+	address := lb.Addr().String()
+	la := listen(t)
+	peers := map[string]string{"a": la.Addr().String(), "b": address}
+	a := start(t, Options{Name: "a", DataCentre: "bern", Incarnation: 1, SharedKey: testKey, Listener: la, Peers: peers}, nil)
+	options := Options{Name: "b", DataCentre: "bern", Incarnation: 1, SharedKey: testKey, Listener: lb, Peers: peers}
+	b := start(t, options, nil)
+	_, err := callEcho(a, "b", patience)
+	is.NoErr(err)
+	is.NoErr(b.Close())
+	eventually(t, "the end of b", func() bool {
+		var unreachable *UnreachableError
+		_, err := callEcho(a, "b", patience)
+		return errors.As(err, &unreachable) && !unreachable.Sent
+	})
+	options.Listener = nil
+	options.ListenAddress = address
+	options.Incarnation = 2
+	start(t, options, nil)
+	eventually(t, "b again", func() bool { _, err := callEcho(a, "b", patience); return err == nil })
+	is.Equal(a.State().Peers[0].Incarnation, uint64(2))
+}
+
+// Guards against a cancelled call that is sent later, or that is reported as unsent although it left.
+func TestCancelledCall(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	nodes := group(t, []string{"a", "b"}, nil, func(n *Node) {
+		n.Handle("hang", func(context.Context, Sender, []byte) (any, error) { <-release; return nil, nil })
+	})
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- nodes["a"].Call(ctx, "b", "hang", nil, nil) }()
+	eventually(t, "the call has left", func() bool {
+		s := nodes["a"].State()
+		return len(s.Peers) == 1 && s.Peers[0].MessagesOut == 1
+	})
+	cancel()
+	var cancelled *CancelledError
+	is.True(errors.As(<-result, &cancelled))
+	is.True(cancelled.Sent && errors.Is(cancelled, context.Canceled))
+
+	is.NoErr(nodes["b"].SetCut("a", true))
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	is.True(errors.As(nodes["b"].Call(ctx, "a", "hang", nil, nil), &cancelled))
+	is.True(!cancelled.Sent)
+	is.Equal(nodes["b"].State().Peers[0].Calls, 0)
+}
+
+// Guards against a planned stop that loses queued messages or interrupts a running call.
+func TestCloseIsGraceful(t *testing.T) {
+	is := is.New(t)
+	var got atomic.Int64
+	entered := make(chan struct{})
+	release := make(chan struct{})
+	nodes := group(t, []string{"a", "b"}, func(o *Options) { o.CloseTimeout = patience }, func(n *Node) {
+		n.Handle("count", func(context.Context, Sender, []byte) (any, error) { got.Add(1); return nil, nil })
+		n.Handle("wait", func(context.Context, Sender, []byte) (any, error) { close(entered); <-release; return nil, nil })
+	})
+	result := make(chan error, 1)
+	go func() { result <- nodes["a"].Call(context.Background(), "b", "wait", nil, nil) }()
+	<-entered
+	for range 100 {
+		is.NoErr(nodes["a"].Send("b", "count", nil))
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- nodes["a"].Close() }()
+	eventually(t, "refusal of new messages", func() bool {
+		var refused *ClosedError
+		return errors.As(nodes["a"].Send("b", "count", nil), &refused)
+	})
+	close(release)
+	is.NoErr(<-result)
+	is.NoErr(<-closed)
+	eventually(t, "all queued messages", func() bool { return got.Load() >= 100 })
+}
+
+// Guards against options that would only fail later, and against a cut in production.
+func TestOptions(t *testing.T) {
+	is := is.New(t)
+	valid := Options{Name: "a", DataCentre: "bern", SharedKey: testKey, ListenAddress: "127.0.0.1:0"}
+	for _, change := range []func(o *Options){
+		func(o *Options) { o.Name = "" },
+		func(o *Options) { o.Name = strings.Repeat("a", 65) },
+		func(o *Options) { o.DataCentre = "a b" },
+		func(o *Options) { o.SharedKey = testKey[:15] },
+		func(o *Options) { o.ListenAddress = "localhost:1" },
+		func(o *Options) { o.Peers = map[string]string{"b": "host.example:1"} },
+	} {
+		o := valid
+		change(&o)
+		_, err := New(o)
+		var fault *OptionsError
+		is.True(errors.As(err, &fault))
+	}
+	n, err := New(valid)
+	is.NoErr(err)
+	var cut *CutError
+	is.True(errors.As(n.SetCut("b", true), &cut))
+}
+
+// Guards against the shared key in a log line or a dump.
+func TestKeyIsNotLogged(t *testing.T) {
+	var log bytes.Buffer
+	var mu sync.Mutex
+	writer := writerFunc(func(p []byte) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return log.Write(p)
+	})
+	nodes := group(t, []string{"a", "b"}, func(o *Options) {
+		o.Logger = zerolog.New(writer)
+		if o.Name == "a" {
+			o.SharedKey = []byte("another key that is long enough")
+		}
+	}, nil)
+	_, err := callEcho(nodes["a"], "b", patience)
+	if err == nil {
+		t.Fatal("another key was accepted")
+	}
+	eventually(t, "a log line", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return strings.Contains(log.String(), "wrong-key")
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if text := log.String() + fmt.Sprintf("%+v", nodes["a"].State()); strings.Contains(text, "another key") {
+		t.Fatal("the key is in the log")
+	}
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- /dev/null
+++ b/internal/link/state.go
@@ -0,0 +1,88 @@
+package link
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is a dump of a node. It contains no secret.
+type State struct {
+	Name        string
+	DataCentre  string
+	Incarnation uint64
+	Closing     bool
+	Peers       []PeerState // by name; peers with which nothing was exchanged are left out
+}
+
+// PeerState is a dump of the exchange with one peer.
+type PeerState struct {
+	Name            string
+	Address         string
+	Connected       bool   // the connection that this side dialled
+	Heard           bool   // the connection that the peer dialled
+	Incarnation     uint64 // of the peer, when connected either way
+	Waiting         int    // messages in the ring
+	Calls           int    // outstanding
+	DialAttempts    int    // failed since the last success
+	NextDial        time.Time
+	LastError       string
+	BytesIn         uint64
+	BytesOut        uint64
+	MessagesIn      uint64
+	MessagesOut     uint64
+	DroppedMessages uint64
+}
+
+// State returns a dump without stopping the node.
+func (n *Node) State() State {
+	n.mu.Lock()
+	state := State{Name: n.o.Name, DataCentre: n.o.DataCentre, Incarnation: n.o.Incarnation, Closing: n.closing}
+	peers := n.peerList()
+	heard := make(map[string]uint64, len(n.newest))
+	for name, s := range n.newest {
+		heard[name] = s.peer.Incarnation
+	}
+	n.mu.Unlock()
+	for _, p := range peers {
+		incarnation, ok := heard[p.name]
+		if ps, used := p.state(); used {
+			ps.Heard = ok
+			ps.Incarnation = max(ps.Incarnation, incarnation)
+			state.Peers = append(state.Peers, ps)
+		}
+	}
+	slices.SortFunc(state.Peers, func(a, b PeerState) int { return strings.Compare(a.Name, b.Name) })
+	return state
+}
+
+func (p *peer) state() (state PeerState, used bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.traffic == nil {
+		return PeerState{}, false
+	}
+	state = PeerState{
+		Name:            p.name,
+		Address:         p.address,
+		Calls:           len(p.calls),
+		DialAttempts:    p.attempts,
+		NextDial:        p.downTill,
+		BytesIn:         p.traffic.bytesIn.Get(),
+		BytesOut:        p.traffic.bytesOut.Get(),
+		MessagesIn:      p.traffic.messagesIn.Get(),
+		MessagesOut:     p.traffic.messagesOut.Get(),
+		DroppedMessages: p.traffic.dropped.Get(),
+	}
+	if p.ring != nil {
+		state.Waiting = p.ring.Len()
+	}
+	if p.session != nil {
+		state.Connected = true
+		state.Incarnation = p.session.peer.Incarnation
+	}
+	if p.lastErr != nil {
+		state.LastError = p.lastErr.Error()
+	}
+	return state, true
+}
