link: notice a silent peer 250 ms earlier

Cause: a silent cut was noticed after 2.75 s (go test -race -v -run SilentCut ./internal/link), which leaves 0.25 s to the stated limit of 3 s. Change: silentAfter from 2.5 s to 2.25 s, still more than two pings. Conclusion: the bound silentAfter + watchEvery is now 2.5 s.

--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -31,7 +31,7 @@
 const (
 	// A silent peer is noticed within pingEvery + the rest of silentAfter + watchEvery, which is under 3 s.
 	pingEvery   = time.Second
-	silentAfter = 2500 * time.Millisecond
+	silentAfter = 2250 * time.Millisecond
 	watchEvery  = 250 * time.Millisecond
 	// A watch that comes this late means that this process was frozen: what waits in the kernel's
 	// buffers was not read yet, so silence is measured anew.
