--- /dev/null
+++ b/internal/link/raw_test.go
@@ -0,0 +1,24 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/coder/websocket"
+)
+
+// serveRaw accepts WebSocket connections without authentication, as an impostor does.
+func serveRaw(l net.Listener, handle func(ctx context.Context, ws *websocket.Conn)) {
+	server := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(rw, r, nil)
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		handle(ctx, ws)
+		_ = ws.CloseNow()
+	})}
+	_ = server.Serve(l)
+}
