consensus: add the core of the replicated log

Cause: the configuration needs a replicated log of its own. Change: a core without I/O, clock and goroutines: founding, election with pre-vote, replication with conflict hints, quorum commit, confirmed reads,

in a small simulated network that checks the invariants after each step, also in 120 randomized schedules with fixed seeds.

--- /dev/null
+++ b/consensus/commit.go
@@ -0,0 +1,59 @@
+package consensus
+
+import "slices"
+
+// quorumOf returns the highest value that a quorum of voters has reached; own is this replica's.
+func (n *Node) quorumOf(own uint64, value func(*progress) uint64) uint64 {
+	configuration := n.log.configuration().configuration
+	values := make([]uint64, 0, maxUsualVoters)
+	for _, id := range configuration.Voters {
+		switch p := n.progress[id]; {
+		case id == n.self:
+			values = append(values, own)
+		case p != nil:
+			values = append(values, value(p))
+		default:
+			values = append(values, 0)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-configuration.Quorum()]
+}
+
+// maxUsualVoters keeps the usual quorum computations on the stack.
+const maxUsualVoters = 8
+
+// maybeCommit advances the commit index to what a quorum has synced, and reports whether it moved.
+// Only an entry of the leader's own term commits by counting: an entry of an earlier term that a
+// quorum holds could still be overwritten by a leader that never saw it. Everything before a
+// committed entry is committed with it, by log matching.
+func (n *Node) maybeCommit() bool {
+	if n.role != Leader {
+		return false
+	}
+	// The leader counts itself only with what it has synced.
+	index := n.quorumOf(n.log.persisted, func(p *progress) uint64 { return p.match })
+	if index <= n.log.commit || !n.log.matches(index, n.hard.Term) {
+		return false
+	}
+	n.commitUpTo(index)
+	n.releaseReads()
+	return true
+}
+
+func (n *Node) commitUpTo(index uint64) {
+	index = min(index, n.log.last())
+	if index > n.log.commit {
+		n.log.commit = index
+		n.hard.Commit = index
+	}
+}
+
+// committedOwnTerm reports whether an entry of the leader's term is committed. Before that a leader
+// may not know how far its predecessors committed.
+func (n *Node) committedOwnTerm() bool {
+	return n.log.matches(n.log.commit, n.hard.Term)
+}
--- /dev/null
+++ b/consensus/consensus_test.go
@@ -0,0 +1,215 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a log that is never founded or never commits.
+func TestFoundElectCommit(t *testing.T) {
+	for _, founders := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		s := newSim(t, 1, founders...)
+		leader := s.elect()
+		s.propose(leader, "x")
+		s.settle()
+		for range testHeartbeatTicks + 1 {
+			s.tickAll()
+		}
+		s.mustHold()
+		for _, name := range founders {
+			h := s.hosts[name]
+			if h.node.log.applied != s.highest || s.highest < 3 {
+				t.Errorf("%s applied %d of %d", name, h.node.log.applied, s.highest)
+			}
+		}
+	}
+}
+
+// Guards against a replica that founds a log before every initial voter has shown an empty disk.
+func TestFoundingNeedsEveryInitialVoter(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, "a", "b", "c")
+	s.crash(s.hosts["c"])
+	for range 200 {
+		s.tickAll()
+	}
+	is.True(!s.hosts["a"].node.hasLog())
+	s.start(s.hosts["c"])
+	s.elect()
+	s.mustHold()
+}
+
+// Guards against a second log: the founder lost its disk, its instance starts from nothing while the
+// others hold the log. It must join that log under its new incarnation.
+func TestFounderWithLostDiskJoins(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, "a", "b", "c")
+	s.propose(s.elect(), "x")
+	s.settle()
+	first := s.hosts["b"].node.hard.Log
+	s.loseDisk(s.hosts["a"])
+	s.start(s.hosts["a"])
+	for range 100 {
+		s.tickAll()
+	}
+	s.mustHold()
+	is.Equal(s.hosts["a"].node.hard.Log, first)
+	is.Equal(s.leader().node.Configuration().Voters, []ID{{"a", 2}, {"b", 1}, {"c", 1}})
+	is.Equal(len(s.leader().node.Configuration().Learners), 0)
+	is.Equal(s.hosts["a"].node.Commit(), s.highest)
+}
+
+// Guards against a leader that keeps its role past the election of its successor when all clocks
+// run at the same speed.
+func TestIsolatedLeaderStepsDownFirst(t *testing.T) {
+	for seed := range uint64(50) {
+		s := newSim(t, seed, "a", "b", "c")
+		old := s.elect()
+		s.isolate(old.name, true)
+		for range 20 * testElectionTicks {
+			s.tickAll()
+			if next := s.leader(); next != nil && next != old {
+				break
+			}
+			if len(s.leaders) > 1 && old.node.role == Leader {
+				t.Fatalf("seed %d: two leaders at the same time", seed)
+			}
+		}
+		if old.node.role == Leader || s.leader() == nil {
+			t.Fatalf("seed %d: the isolated leader did not give up, or nobody followed", seed)
+		}
+		s.mustHold()
+	}
+}
+
+// Guards against a returning replica that deposes a working leader with a higher term.
+func TestReturningReplicaDisturbsNobody(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 3, "a", "b", "c")
+	leader := s.elect()
+	term := leader.node.hard.Term
+	away := s.followers(leader)[0]
+	s.isolate(away.name, true)
+	for range 20 * testElectionTicks {
+		s.tickAll()
+	}
+	s.isolate(away.name, false)
+	for range 5 * testElectionTicks {
+		s.tickAll()
+	}
+	is.Equal(s.leader(), leader)
+	is.Equal(leader.node.hard.Term, term)
+	s.mustHold()
+}
+
+// Guards against a follower that never gets entries which its leader has compacted.
+func TestSnapshotServesLaggingFollower(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 4, "a", "b", "c")
+	leader := s.elect()
+	away := s.followers(leader)[0]
+	s.isolate(away.name, true)
+	for range 50 {
+		s.propose(leader, "entry")
+		s.settle()
+	}
+	s.compact(leader)
+	s.isolate(away.name, false)
+	for range 5 * testElectionTicks {
+		s.tickAll()
+	}
+	s.propose(leader, "more")
+	s.settle()
+	s.mustHold()
+	is.Equal(away.node.Commit(), leader.node.Commit())
+	is.Equal(away.machine, leader.machine)
+	is.True(away.node.log.base >= 50)
+}
+
+// Guards against the conflict hint that walks back one entry at a time, or never arrives: a follower
+// with a long conflicting suffix must match after few messages.
+func TestConflictHintSkipsTerms(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 5, "a", "b", "c")
+	old := s.elect()
+	s.isolate(old.name, true)
+	for range 100 {
+		is.NoErr(old.node.Propose([]byte("lost")))
+	}
+	s.process(old)
+	s.settle()
+	leader := old
+	for range 10 * testElectionTicks {
+		s.tickAll()
+		if leader = s.leader(); leader != nil && leader != old {
+			break
+		}
+	}
+	for range 30 {
+		s.propose(leader, "kept")
+		s.settle()
+	}
+	refused := 0
+	s.mutate = func(h *host, m *Message) {
+		if m.Kind == KindAppendReply && m.Reject {
+			refused++
+		}
+	}
+	s.isolate(old.name, false)
+	for range 3 * testElectionTicks {
+		s.tickAll()
+	}
+	s.mustHold()
+	is.Equal(old.node.Commit(), leader.node.Commit())
+	is.Equal(old.node.LastIndex(), leader.node.LastIndex())
+	is.True(refused <= 4) // the suffix has 100 entries of one term
+}
+
+// Guards against a read served from the commit index of an earlier term.
+func TestReadWaitsForOwnTerm(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 6, "a", "b", "c")
+	s.elect()
+	s.crash(s.leader())
+	var leader *host
+	for leader == nil {
+		for _, name := range s.names {
+			s.tick(s.hosts[name])
+		}
+		// Appends are held back, so the first entry of the term cannot commit.
+		s.mutate = func(_ *host, m *Message) {
+			if m.Kind == KindAppend {
+				m.To.Incarnation = 99
+			}
+		}
+		s.settle()
+		leader = s.leader()
+	}
+	s.read(leader)
+	s.settle()
+	is.Equal(s.reads, 0)
+	s.mutate = nil
+	for range 2 * testHeartbeatTicks {
+		s.tickAll()
+	}
+	s.mustHold()
+	is.Equal(s.reads, 1)
+}
+
+// Guards against unbounded queues in the leader.
+func TestProposalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 7, "a", "b", "c")
+	leader := s.elect()
+	var err error
+	for range DefaultMaxUncommitted + 1 {
+		err = leader.node.Propose([]byte("x"))
+	}
+	var overloaded *OverloadedError
+	is.True(asError(err, &overloaded))
+	follower := s.followers(leader)[0]
+	var notLeader *NotLeaderError
+	is.True(asError(follower.node.Propose(nil), &notLeader))
+	is.Equal(notLeader.Leader, leader.id)
+}
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,128 @@
+package consensus
+
+// campaign starts a pre-vote or, after a won one, the vote itself. A pre-vote changes no durable
+// state, so a replica that cannot win (partitioned, or behind) disturbs nobody.
+func (n *Node) campaign(role Role) {
+	kind, term := KindPreVote, n.hard.Term+1
+	n.role = role
+	n.leader = ID{}
+	n.resetElection()
+	n.votes = map[ID]bool{n.self: true}
+	if role == Candidate {
+		kind = KindVote
+		n.hard.Term = term
+		n.hard.Vote = n.self
+	}
+	n.campaignTick = n.ticks
+	if n.countVotes() {
+		return
+	}
+	for _, id := range n.log.configuration().configuration.Voters {
+		if id != n.self {
+			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+		}
+	}
+}
+
+// countVotes moves on when a quorum of voters agreed, and reports whether it did.
+func (n *Node) countVotes() bool {
+	configuration := n.log.configuration().configuration
+	granted := 0
+	for _, id := range configuration.Voters {
+		if n.votes[id] {
+			granted++
+		}
+	}
+	if granted < configuration.Quorum() {
+		return false
+	}
+	if n.role == PreCandidate {
+		n.campaign(Candidate)
+	} else {
+		n.becomeLeader()
+	}
+	return true
+}
+
+// inLease reports whether a leader may exist that relies on this replica not voting. A restarted
+// replica assumes that it heard a leader right before it stopped.
+func (n *Node) inLease() bool {
+	return n.role == Leader || n.contactElapsed < n.options.ElectionTicks
+}
+
+func (n *Node) stepPreVote(m Message) {
+	if m.Term > n.hard.Term && n.inLease() {
+		return
+	}
+	granted := m.Term > n.hard.Term && n.log.upToDate(m.Index, m.LogTerm)
+	reply := Message{Kind: KindPreVoteReply, To: m.From, Reject: !granted}
+	if granted {
+		reply.Term = m.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) stepVote(m Message) {
+	if m.Term > n.hard.Term {
+		if n.inLease() {
+			return // Neither the term nor the vote changes: the leader keeps its quorum.
+		}
+		n.becomeFollower(m.Term, ID{})
+	}
+	free := n.hard.Vote.IsZero() && n.leader.IsZero() || n.hard.Vote == m.From
+	granted := m.Term == n.hard.Term && free && n.log.upToDate(m.Index, m.LogTerm)
+	if granted {
+		// The reply leaves after this vote was synced, so a restart cannot vote twice in a term.
+		n.hard.Vote = m.From
+		n.contactElapsed = 0
+		n.resetElection()
+	}
+	n.send(Message{Kind: KindVoteReply, To: m.From, Reject: !granted})
+}
+
+func (n *Node) stepVoteReply(m Message) {
+	if m.Reject && m.Term > n.hard.Term {
+		n.becomeFollower(m.Term, ID{})
+		return
+	}
+	expected := n.role == PreCandidate && m.Kind == KindPreVoteReply && m.Term == n.hard.Term+1 ||
+		n.role == Candidate && m.Kind == KindVoteReply && m.Term == n.hard.Term
+	if !expected || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	n.countVotes()
+}
+
+// becomeLeader starts the term's leadership with an empty entry: entries of earlier terms commit
+// only together with it, and reads wait for it.
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.self
+	n.votes = nil
+	n.heartbeatElapsed = 0
+	n.heartbeatCommit = n.log.commit
+	n.pendingChange = n.log.configuration().index
+	n.progress = make(map[ID]*progress)
+	n.termStart = n.log.last() + 1
+	n.syncProgress()
+	n.appendOwn(Entry{Kind: EntryEmpty})
+}
+
+// tickLeader gives up leadership when the newest messages that a quorum answered were sent too long
+// ago. Followers count their lease from the receipt of those messages, which is later, and theirs is
+// longer by leaseMarginTicks; so this leader stops before they elect another.
+func (n *Node) tickLeader() {
+	contact := n.quorumOf(n.ticks, func(p *progress) uint64 { return p.contactTick })
+	if n.ticks-contact >= uint64(n.options.ElectionTicks-leaseMarginTicks) {
+		n.StepDown()
+		return
+	}
+	n.heartbeatElapsed++
+	if n.heartbeatElapsed >= n.options.HeartbeatTicks {
+		n.heartbeatElapsed = 0
+		n.broadcastHeartbeat()
+		n.heartbeatCommit = n.log.commit
+	}
+	n.repair()
+}
--- /dev/null
+++ b/consensus/errors_test.go
@@ -0,0 +1,82 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func asError[E error](err error, target *E) bool { return errors.As(err, target) }
+
+// dump renders everything in a node that a message could change.
+func dump(n *Node) string {
+	return fmt.Sprintf("%+v %+v %+v %d %d %d %d %v %v %+v", n.hard, *n.log, n.role, n.electionElapsed, n.electionTimeout,
+		n.contactElapsed, n.round, n.votes, n.pledges, n.outbox)
+}
+
+// Guards against bad messages that change state, or pass without a typed error.
+func TestBadMessagesChangeNothing(t *testing.T) {
+	s := newSim(t, 8, "a", "b", "c")
+	leader := s.elect()
+	s.propose(leader, "x")
+	s.settle()
+	follower := s.followers(leader)[0]
+	other := s.followers(leader)[1]
+	term, last := leader.node.hard.Term, leader.node.LastIndex()
+	to := func(h *host, m Message) Message {
+		m.To = h.id
+		if m.From.IsZero() {
+			m.From = leader.id
+		}
+		if m.Log.IsZero() {
+			m.Log = leader.node.hard.Log
+		}
+		return m
+	}
+	cases := []struct {
+		name string
+		at   *host
+		m    Message
+		want error
+	}{
+		{"other incarnation", follower, Message{Kind: KindHeartbeat, Term: term, To: ID{follower.name, 9}}, &MisdirectedError{}},
+		{"unknown candidate with an older log", follower, Message{Kind: KindVote, From: ID{"x", 1}, Term: term + 1, Index: last, LogTerm: term}, &UnknownSenderError{}},
+		{"unknown leader in a led term", follower, Message{Kind: KindAppend, From: ID{"x", 1}, Term: term, Index: last, LogTerm: term}, &UnknownSenderError{}},
+		{"acknowledgement of a stranger", leader, Message{Kind: KindAppendReply, From: ID{"x", 1}, Term: term, Index: last}, &UnknownSenderError{}},
+		{"join of a stranger", leader, Message{Kind: KindJoin, From: ID{"x", 1}}, &UnknownSenderError{}},
+		{"old incarnation", follower, Message{Kind: KindVote, From: ID{other.name, 0}, Term: term + 1}, &UnknownSenderError{}},
+		{"other log", follower, Message{Kind: KindHeartbeat, Log: ID{"z", 7}, Term: term}, &OtherLogError{}},
+		{"no log", follower, Message{Kind: KindHeartbeat, Log: ID{"", 1}, Term: term}, &OtherLogError{}},
+		{"term zero", follower, Message{Kind: KindHeartbeat}, &ImpossibleError{}},
+		{"huge term", follower, Message{Kind: KindVote, Term: 1 << 63}, &ImpossibleError{}},
+		{"unknown kind", follower, Message{Kind: 200, Term: term}, &ImpossibleError{}},
+		{"second leader in the term", follower, Message{Kind: KindAppend, From: other.id, Term: term, Index: last, LogTerm: term}, &ImpossibleError{}},
+		{"append to the leader of the term", leader, Message{Kind: KindAppend, From: other.id, Term: term}, &ImpossibleError{}},
+		{"commit beyond the log", follower, Message{Kind: KindHeartbeat, Term: term, Commit: last + 1}, &ImpossibleError{}},
+		{"gap in entries", follower, Message{Kind: KindAppend, Term: term, Index: last, LogTerm: term, Entries: []Entry{{Index: last + 2, Term: term}}}, &ImpossibleError{}},
+		{"entry of a later term", follower, Message{Kind: KindAppend, Term: term, Index: last, LogTerm: term, Entries: []Entry{{Index: last + 1, Term: term + 1}}}, &ImpossibleError{}},
+		{"falling terms", follower, Message{Kind: KindAppend, Term: term, Index: last, LogTerm: term, Entries: []Entry{{Index: last + 1, Term: term - 1}}}, &ImpossibleError{}},
+		{"configuration without voters", follower, Message{Kind: KindAppend, Term: term, Index: last, LogTerm: term, Entries: []Entry{{Index: last + 1, Term: term, Kind: EntryConfiguration}}}, &ImpossibleError{}},
+		{"contradiction of a committed entry", follower, Message{Kind: KindAppend, Term: term + 5, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: term + 5}}}, &ImpossibleError{}},
+		{"empty snapshot", follower, Message{Kind: KindSnapshot, Term: term}, &ImpossibleError{}},
+		{"acknowledgement beyond the log", leader, Message{Kind: KindAppendReply, From: follower.id, Term: term, Index: last + 1}, &ImpossibleError{}},
+		{"echo of a round never started", leader, Message{Kind: KindHeartbeatReply, From: follower.id, Term: term, Round: 1 << 40}, &ImpossibleError{}},
+		{"refusal without an index", leader, Message{Kind: KindAppendReply, From: follower.id, Term: term, Reject: true}, &ImpossibleError{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := c.m
+			if m.To.IsZero() {
+				m = to(c.at, m)
+			}
+			before := dump(c.at.node)
+			err := c.at.node.Step(m)
+			is.Equal(reflect.TypeOf(err), reflect.TypeOf(c.want))
+			is.Equal(dump(c.at.node), before)
+		})
+	}
+}
--- /dev/null
+++ b/consensus/schedule_test.go
@@ -0,0 +1,268 @@
+package consensus
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+)
+
+var (
+	schedules = flag.Int("schedules", 120, "number of randomized schedules")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first schedule")
+)
+
+const scheduleSteps = 2500
+
+// Guards against the loss, change or reordering of committed entries, two leaders in a term and
+// stale reads under any order of faults. The checks are in sim_test.go and run after every step.
+func TestRandomizedSchedules(t *testing.T) {
+	commits, reads, repairs, leaders := uint64(0), 0, 0, 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed)
+		s.run()
+		if s.failure != "" {
+			t.Fatalf("seed %d: %s", seed, s.failure)
+		}
+		s.heal()
+		if s.failure != "" {
+			t.Fatalf("seed %d, after healing: %s", seed, s.failure)
+		}
+		commits += s.highest
+		reads += s.sim.reads
+		repairs += s.repairs
+		leaders += len(s.leaders)
+	}
+	t.Logf("%d schedules: %d entries committed, %d reads, %d disks lost, %d leaders",
+		*schedules, commits, reads, repairs, leaders)
+	if commits == 0 || reads == 0 || repairs == 0 {
+		t.Error("the schedules exercise too little")
+	}
+}
+
+// schedule is a random sequence of faults and calls.
+type schedule struct {
+	*sim
+	repairs int
+}
+
+func newSchedule(t testing.TB, seed uint64) *schedule {
+	founders := []string{"a", "b", "c"}
+	if seed%3 == 0 {
+		founders = []string{"a", "b", "c", "d", "e"}
+	}
+	s := &schedule{sim: newSim(t, seed, founders...)}
+	s.add("x") // joins on an operator's change
+	s.crashAt = func(*host, string) bool { return s.random.IntN(2000) == 0 }
+	return s
+}
+
+func (s *schedule) run() {
+	for range scheduleSteps {
+		if s.failure != "" {
+			return
+		}
+		s.step()
+	}
+}
+
+func (s *schedule) pick() *host { return s.hosts[s.names[s.random.IntN(len(s.names))]] }
+
+func (s *schedule) step() {
+	switch p := s.random.IntN(1000); {
+	case p < 600:
+		s.deliverOne()
+	case p < 900:
+		s.tick(s.pick())
+	case p < 960:
+		s.call()
+	default:
+		s.fault(s.pick())
+	}
+}
+
+// deliverOne delivers a message out of order, loses or duplicates it.
+func (s *schedule) deliverOne() {
+	if len(s.net) == 0 {
+		return
+	}
+	i := 0
+	if s.random.IntN(4) == 0 {
+		i = s.random.IntN(len(s.net))
+	}
+	m := s.net[i]
+	switch s.random.IntN(40) {
+	case 0: // lost
+		s.remove(i)
+	case 1: // duplicated
+		s.deliver(m)
+	default:
+		s.remove(i)
+		s.deliver(m)
+	}
+	if len(s.net) > 300 {
+		s.net = s.net[100:]
+	}
+}
+
+func (s *schedule) remove(i int) {
+	s.net = append(s.net[:i:i], s.net[i+1:]...)
+}
+
+// call uses every replica that takes itself for the leader, the outdated ones too.
+func (s *schedule) call() {
+	for _, name := range s.names {
+		h := s.hosts[name]
+		if h.node == nil || h.frozen || h.node.role != Leader {
+			continue
+		}
+		switch s.random.IntN(8) {
+		case 0, 1, 2, 3:
+			if h.node.Propose(fmt.Appendf(nil, "%d", s.random.IntN(1000))) == nil {
+				s.process(h)
+			}
+		case 4, 5, 6:
+			s.read(h)
+		case 7:
+			s.change(h)
+		}
+	}
+}
+
+func (s *schedule) change(h *host) {
+	configuration := h.node.Configuration()
+	target := s.pick()
+	change := Change{Kind: AddLearner, ID: target.id}
+	if configuration.IsVoter(target.id) {
+		if len(configuration.Voters) <= len(s.founders) {
+			return
+		}
+		change.Kind = Remove
+	}
+	if h.node.ProposeChange(change) == nil {
+		s.process(h)
+	}
+}
+
+func (s *schedule) fault(h *host) {
+	switch s.random.IntN(16) {
+	case 0:
+		s.crash(h)
+	case 1, 2, 3, 4, 5:
+		if h.node == nil {
+			s.start(h)
+			s.process(h)
+		}
+	case 6:
+		if h.node != nil {
+			h.frozen = true
+		}
+	case 7, 8, 9:
+		if h.node != nil && h.frozen {
+			s.thaw(h)
+		}
+	case 10:
+		s.isolate(h.name, true)
+	case 11, 12:
+		s.isolate(h.name, false)
+	case 13:
+		if s.mayLose(h) {
+			s.repairs++
+			s.loseDisk(h)
+		}
+	default:
+		if h.node != nil && !h.frozen && h.node.log.applied > h.node.log.base+5 {
+			s.compact(h)
+		}
+	}
+}
+
+// mayLose keeps the lost disks below half of the voters in every configuration that a replica has:
+// a log survives no more than that.
+func (s *schedule) mayLose(h *host) bool {
+	if !s.anyLog() {
+		return false
+	}
+	for _, name := range s.names {
+		other := s.hosts[name]
+		if other.node == nil {
+			return false // Its configuration is on its disk only.
+		}
+		voters := other.node.Configuration().Voters
+		lost := 0
+		for _, id := range voters {
+			if s.lost[id] || id == h.id {
+				lost++
+			}
+		}
+		if len(voters) > 0 && lost > (len(voters)-1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *schedule) anyLog() bool { return s.highest > 0 }
+
+// heal ends all faults. Then there must be a leader, a new entry must reach every member, and every
+// lost identity must be replaced.
+func (s *schedule) heal() {
+	s.crashAt = nil
+	for _, name := range s.names {
+		s.isolate(name, false)
+	}
+	for _, name := range s.names {
+		h := s.hosts[name]
+		if h.node == nil {
+			s.start(h)
+		}
+		if h.frozen {
+			s.thaw(h)
+		}
+	}
+	for range 100 * testElectionTicks {
+		s.tickAll()
+		if s.failure != "" || s.healed() {
+			break
+		}
+	}
+	if s.failure != "" {
+		return
+	}
+	if !s.healed() {
+		s.fail("no progress after healing: %s", s.describe())
+		return
+	}
+	leader := s.leader()
+	s.propose(leader, "last")
+	for range 2 * testElectionTicks {
+		s.tickAll()
+	}
+	for _, id := range leader.node.Configuration().Voters {
+		if h := s.hosts[id.Instance]; h.node.log.applied != leader.node.log.applied {
+			s.fail("%s applied %d of %d entries: %s", id, h.node.log.applied, leader.node.log.applied, s.describe())
+		}
+	}
+}
+
+func (s *schedule) healed() bool {
+	leader := s.leader()
+	if leader == nil || !leader.node.committedOwnTerm() {
+		return false
+	}
+	for _, id := range leader.node.Configuration().members() {
+		if s.lost[id] || leader.node.Configuration().IsLearner(id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *schedule) describe() string {
+	text := ""
+	for _, name := range s.names {
+		if h := s.hosts[name]; h.node != nil {
+			text += fmt.Sprintf("\n%+v", h.node.Status())
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/consensus/sim_test.go
@@ -0,0 +1,423 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+const (
+	testElectionTicks  = 10
+	testHeartbeatTicks = 3
+)
+
+// host is one instance with its disk in a simulated cluster.
+type host struct {
+	name    string
+	id      ID
+	store   *MemoryStorage
+	node    *Node // nil while crashed
+	frozen  bool
+	inbox   []Message // received while frozen
+	machine uint64    // hash over all applied entries
+	checked uint64    // commit index up to which the entries were compared
+	reads   map[uint64]uint64
+	nextID  uint64
+}
+
+type durableKey struct {
+	id          ID
+	index, term uint64
+}
+
+// sim drives several nodes over a lossy network and checks the invariants after every step. The
+// hooks remove one guard each; they are set by tests that show that a check notices the removal.
+type sim struct {
+	t        testing.TB
+	random   *rand.Rand
+	founders []string
+	hosts    map[string]*host
+	names    []string
+	net      []Message
+	blocked  map[[2]string]bool
+	failure  string // first violated invariant
+
+	leaders   map[uint64]ID
+	committed map[uint64]Entry
+	highest   uint64            // highest committed index known anywhere
+	hashes    map[uint64]uint64 // state machine after an index
+	durable   map[durableKey]bool
+	lost      map[ID]bool
+	reads     int // confirmed reads
+
+	crashAt     func(h *host, point string) bool
+	beforeSync  bool                         // sends acknowledgements before persisting
+	mutate      func(h *host, m *Message)    // changes a message before it is delivered
+	skipDurable bool                         // for hooks that violate the durability check on purpose
+	afterLoss   func(h *host) *MemoryStorage // storage after a lost disk that keeps its identity
+	onRefused   func(h *host, m Message, err error)
+}
+
+func newSim(t testing.TB, seed uint64, founders ...string) *sim {
+	s := &sim{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), founders: founders,
+		hosts: map[string]*host{}, blocked: map[[2]string]bool{},
+		leaders: map[uint64]ID{}, committed: map[uint64]Entry{}, hashes: map[uint64]uint64{0: 0},
+		durable: map[durableKey]bool{}, lost: map[ID]bool{},
+	}
+	for _, name := range founders {
+		s.add(name)
+	}
+	return s
+}
+
+func (s *sim) add(name string) *host {
+	h := &host{name: name, id: ID{name, 1}, store: &MemoryStorage{}}
+	s.hosts[name] = h
+	s.names = append(s.names, name)
+	s.start(h)
+	return h
+}
+
+func (s *sim) fail(format string, values ...any) {
+	if s.failure == "" {
+		s.failure = fmt.Sprintf(format, values...)
+	}
+}
+
+func (s *sim) start(h *host) {
+	node, err := New(Options{
+		Self: h.id, Founders: s.founders, Peers: s.names, ElectionTicks: testElectionTicks,
+		HeartbeatTicks: testHeartbeatTicks, MaxMessageBytes: 200, MaxInflight: 4,
+		Random: rand.New(rand.NewPCG(s.random.Uint64(), 2)), Storage: h.store,
+	})
+	if err != nil {
+		s.fail("%s does not start: %v", h.id, err)
+		return
+	}
+	h.node, h.frozen, h.inbox = node, false, nil
+	h.reads = map[uint64]uint64{}
+	h.machine, h.checked = 0, 0
+	if h.store.snapshot != nil {
+		h.restore(h.store.snapshot)
+	}
+}
+
+func (h *host) restore(snapshot *Snapshot) {
+	h.machine = 0
+	for _, b := range snapshot.Data {
+		h.machine = h.machine<<8 | uint64(b)
+	}
+	h.checked = max(h.checked, snapshot.Index)
+}
+
+func (s *sim) crash(h *host) {
+	h.node, h.frozen, h.inbox = nil, false, nil
+}
+
+// loseDisk crashes a host and gives it an empty disk with a new incarnation.
+func (s *sim) loseDisk(h *host) {
+	s.crash(h)
+	if s.afterLoss != nil {
+		h.store = s.afterLoss(h)
+		return
+	}
+	s.lost[h.id] = true
+	h.id.Incarnation++
+	h.store = &MemoryStorage{}
+}
+
+// process carries out everything that a node wants done.
+func (s *sim) process(h *host) {
+	for h.node != nil && s.failure == "" {
+		r := h.node.Ready()
+		if r.IsEmpty() {
+			break
+		}
+		s.net = append(s.net, r.Early...)
+		if s.crashed(h, "before sync") {
+			return
+		}
+		if s.beforeSync {
+			s.net = append(s.net, r.Messages...)
+			if s.crashed(h, "between early send and sync") {
+				return
+			}
+		}
+		h.store.Persist(r)
+		for _, e := range r.Entries {
+			s.durable[durableKey{h.id, e.Index, e.Term}] = true
+		}
+		if s.crashed(h, "after sync") {
+			return
+		}
+		if !s.beforeSync {
+			s.net = append(s.net, r.Messages...)
+		}
+		if s.crashed(h, "after send") {
+			return
+		}
+		s.apply(h, r)
+		h.node.Advance(r)
+		s.check(h)
+	}
+	s.check(h)
+}
+
+func (s *sim) crashed(h *host, point string) bool {
+	if s.crashAt == nil || !s.crashAt(h, point) {
+		return false
+	}
+	s.crash(h)
+	return true
+}
+
+func (s *sim) apply(h *host, r Ready) {
+	if r.Snapshot != nil {
+		h.restore(r.Snapshot)
+		s.agree(h, r.Snapshot.Index)
+	}
+	for _, e := range r.Committed {
+		sum := fnv.New64a()
+		fmt.Fprint(sum, h.machine, e.Index, e.Term, e.Kind, e.Data)
+		h.machine = sum.Sum64()
+		s.agree(h, e.Index)
+	}
+	for _, read := range r.Reads {
+		s.reads++
+		if want := h.reads[read.ID]; read.Index < want {
+			s.fail("stale read at %s: index %d, but %d was committed before the read", h.id, read.Index, want)
+		}
+	}
+}
+
+// agree checks that every state machine has the same state after the same entry.
+func (s *sim) agree(h *host, index uint64) {
+	if known, ok := s.hashes[index]; ok && known != h.machine {
+		s.fail("state machines differ after entry %d at %s", index, h.id)
+	}
+	s.hashes[index] = h.machine
+}
+
+// check verifies the invariants after a step of h.
+func (s *sim) check(h *host) {
+	if h.node == nil || s.failure != "" {
+		return
+	}
+	n := h.node
+	if n.role == Leader {
+		if known, ok := s.leaders[n.hard.Term]; ok && known != h.id {
+			s.fail("two leaders in term %d: %s and %s", n.hard.Term, known, h.id)
+		}
+		if _, ok := s.leaders[n.hard.Term]; !ok {
+			s.leaders[n.hard.Term] = h.id
+			s.checkComplete(h)
+		}
+	}
+	s.checkCommitted(h)
+	for _, name := range s.names {
+		if other := s.hosts[name]; other != h && other.node != nil {
+			s.checkMatching(n.log, other.node.log, h.id, other.id)
+		}
+	}
+}
+
+// checkComplete verifies that a new leader holds every committed entry.
+func (s *sim) checkComplete(h *host) {
+	l := h.node.log
+	for index, e := range s.committed {
+		if index > l.base && !l.matches(index, e.Term) {
+			s.fail("leader %s of term %d lacks committed entry %d of term %d", h.id, h.node.hard.Term, index, e.Term)
+		}
+	}
+}
+
+// checkCommitted verifies that committed entries never differ, and that an entry is committed by a
+// leader only when a quorum of its voters has had it on disk.
+func (s *sim) checkCommitted(h *host) {
+	l := h.node.log
+	for h.checked < l.commit {
+		h.checked++
+		if h.checked <= l.base {
+			continue
+		}
+		e := l.entries[h.checked-l.base-1]
+		known, ok := s.committed[e.Index]
+		if ok && (known.Term != e.Term || known.Kind != e.Kind || !bytes.Equal(known.Data, e.Data)) {
+			s.fail("committed entry %d changed from term %d to term %d at %s", e.Index, known.Term, e.Term, h.id)
+		}
+		s.committed[e.Index] = e
+	}
+	if l.commit <= s.highest {
+		return
+	}
+	s.highest = l.commit
+	if h.node.role != Leader || s.skipDurable {
+		return
+	}
+	configuration, holders := l.configuration().configuration, 0
+	term, _ := l.term(l.commit)
+	for _, id := range configuration.Voters {
+		if s.durable[durableKey{id, l.commit, term}] {
+			holders++
+		}
+	}
+	if holders < configuration.Quorum() {
+		s.fail("%s committed entry %d with %d of %d voters", h.id, l.commit, holders, len(configuration.Voters))
+	}
+}
+
+// checkMatching verifies that two logs that agree on an entry agree on all entries before it.
+func (s *sim) checkMatching(a, b *entryLog, ida, idb ID) {
+	agreed := false
+	for index := min(a.last(), b.last()); index > max(a.base, b.base); index-- {
+		x, y := &a.entries[index-a.base-1], &b.entries[index-b.base-1]
+		if x.Term == y.Term {
+			agreed = true
+		}
+		if agreed && (x.Term != y.Term || x.Kind != y.Kind || !bytes.Equal(x.Data, y.Data)) {
+			s.fail("logs of %s and %s agree after entry %d but not on it", ida, idb, index)
+		}
+	}
+}
+
+// deliver hands a message to its receiver.
+func (s *sim) deliver(m Message) {
+	h := s.hosts[m.To.Instance]
+	if h == nil || h.node == nil || s.blocked[[2]string{m.From.Instance, m.To.Instance}] {
+		return
+	}
+	if h.frozen {
+		h.inbox = append(h.inbox, m)
+		return
+	}
+	if s.mutate != nil {
+		s.mutate(h, &m)
+	}
+	if err := h.node.Step(m); err != nil && s.onRefused != nil {
+		s.onRefused(h, m, err)
+	}
+	s.process(h)
+}
+
+// settle delivers messages in order until there are none.
+func (s *sim) settle() {
+	for len(s.net) > 0 && s.failure == "" {
+		m := s.net[0]
+		s.net = s.net[1:]
+		s.deliver(m)
+	}
+}
+
+// tickAll advances all running hosts by one tick and delivers everything.
+func (s *sim) tickAll() {
+	for _, name := range s.names {
+		s.tick(s.hosts[name])
+	}
+	s.settle()
+}
+
+func (s *sim) tick(h *host) {
+	if h.node == nil || h.frozen {
+		return
+	}
+	h.node.Tick()
+	s.process(h)
+}
+
+// thaw wakes a frozen host; its driver notices the late tick before it looks at any message.
+func (s *sim) thaw(h *host) {
+	h.frozen = false
+	h.node.StepDown()
+	s.process(h)
+	inbox := h.inbox
+	h.inbox = nil
+	for _, m := range inbox {
+		s.deliver(m)
+	}
+}
+
+func (s *sim) leader() *host {
+	var found *host
+	for _, name := range s.names {
+		h := s.hosts[name]
+		if h.node != nil && !h.frozen && h.node.role == Leader && (found == nil || h.node.hard.Term > found.node.hard.Term) {
+			found = h
+		}
+	}
+	return found
+}
+
+// elect ticks until there is a leader that has committed an entry of its term.
+func (s *sim) elect() *host {
+	s.t.Helper()
+	for range 40 * testElectionTicks {
+		s.tickAll()
+		if h := s.leader(); h != nil && h.node.committedOwnTerm() {
+			return h
+		}
+	}
+	s.t.Fatalf("no leader; failure: %q", s.failure)
+	return nil
+}
+
+func (s *sim) propose(h *host, data string) {
+	if err := h.node.Propose([]byte(data)); err != nil {
+		s.t.Fatal(err)
+	}
+	s.process(h)
+}
+
+func (s *sim) read(h *host) {
+	h.nextID++
+	h.reads[h.nextID] = s.highest
+	if h.node.ReadIndex(h.nextID) == nil {
+		s.process(h)
+	}
+}
+
+func (s *sim) isolate(name string, on bool) {
+	for _, other := range s.names {
+		s.blocked[[2]string{name, other}] = on
+		s.blocked[[2]string{other, name}] = on
+	}
+}
+
+func (s *sim) compact(h *host) {
+	n := h.node
+	data := []byte{}
+	for shift := 56; shift >= 0; shift -= 8 {
+		data = append(data, byte(h.machine>>shift))
+	}
+	snapshot, err := n.SnapshotAt(n.log.applied, data)
+	if err != nil {
+		s.fail("snapshot at %s: %v", h.id, err)
+		return
+	}
+	h.store.SaveSnapshot(snapshot)
+	if err := n.Compact(snapshot.Index); err != nil {
+		s.fail("compaction at %s: %v", h.id, err)
+	}
+}
+
+func (s *sim) mustHold() {
+	s.t.Helper()
+	if s.failure != "" {
+		s.t.Fatal(s.failure)
+	}
+}
+
+// followers returns the running hosts other than h, by name.
+func (s *sim) followers(h *host) []*host {
+	var out []*host
+	for _, name := range s.names {
+		if other := s.hosts[name]; other != h && other.node != nil {
+			out = append(out, other)
+		}
+	}
+	slices.SortFunc(out, func(a, b *host) int { return a.id.Compare(b.id) })
+	return out
+}
--- /dev/null
+++ b/consensus/snapshot.go
@@ -0,0 +1,55 @@
+package consensus
+
+// SnapshotAt returns a snapshot with the state machine's data after applying index, which must not
+// be compacted and not be beyond what was applied. The driver stores it, then calls Compact.
+func (n *Node) SnapshotAt(index uint64, data []byte) (Snapshot, error) {
+	term, ok := n.log.term(index)
+	if !ok || index > n.log.applied {
+		return Snapshot{}, &CompactedError{Index: index, First: n.log.base, Last: n.log.applied}
+	}
+	return Snapshot{Index: index, Term: term, Configuration: n.log.configurationAt(index), Data: data}, nil
+}
+
+// Compact drops the entries up to index, which a durable snapshot covers. Followers that still need
+// them get the snapshot.
+func (n *Node) Compact(index uint64) error {
+	if index < n.log.base || index > min(n.log.applied, n.log.persisted) {
+		return &CompactedError{Index: index, First: n.log.base, Last: n.log.applied}
+	}
+	n.log.compact(index)
+	return nil
+}
+
+// sendSnapshot sends the newest stored snapshot to a follower that needs compacted entries.
+func (n *Node) sendSnapshot(id ID, p *progress) {
+	s, err := n.options.Storage.Snapshot()
+	if err != nil || s == nil {
+		p.paused = true // The next heartbeat reply tries again.
+		return
+	}
+	p.state = restoring
+	p.snapshot = s.Index
+	p.sentTick = n.ticks
+	n.send(Message{Kind: KindSnapshot, To: id, Snapshot: s, Round: n.round, Tick: n.ticks})
+}
+
+// acceptSnapshot replaces the log by the leader's snapshot, unless the log holds everything in it.
+// The reply leaves after the snapshot was synced.
+func (n *Node) acceptSnapshot(m Message) {
+	s := m.Snapshot
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Tick: m.Tick}
+	switch {
+	case s.Index <= n.log.commit:
+		reply.Index = n.log.commit
+	case n.log.matches(s.Index, s.Term):
+		// The log agrees with the snapshot up to its index, so the entries are worth more.
+		n.commitUpTo(s.Index)
+		reply.Index = s.Index
+	default:
+		n.log.restore(s)
+		n.hard.Commit = s.Index
+		n.pendingSnapshot = s
+		reply.Index = s.Index
+	}
+	n.send(reply)
+}
