--- /dev/null
+++ b/journal/atomic.go
@@ -0,0 +1,58 @@
+package journal
+
+import "path/filepath"
+
+// temporarySuffix marks files that a crash left behind before their rename; Open removes them.
+const temporarySuffix = ".tmp"
+
+// WriteFileAtomic replaces a small file durably: it writes a temporary file beside it, syncs it, renames it and
+// syncs the directory. After a crash at any step the file has either its old or its new content.
+// It returns *FullError, with the old content kept, or *FailedError, after which either content may remain.
+func WriteFileAtomic(files FileSystem, path string, data []byte) error {
+	temporary := path + temporarySuffix
+	if err := writeSynced(files, temporary, data); err != nil {
+		_ = files.Remove(temporary) // A leftover is harmless: the next write empties it.
+		return err
+	}
+	if err := files.Rename(temporary, path); err != nil {
+		return writeFailure(OperationRename, path, err)
+	}
+	return syncDirectory(files, filepath.Dir(path))
+}
+
+func writeSynced(files FileSystem, path string, data []byte) error {
+	file, err := files.Create(path)
+	if err != nil {
+		return writeFailure(OperationCreate, path, err)
+	}
+	if err := writeAll(file, data); err != nil {
+		_ = file.Close() // The write error is the one to report.
+		return writeFailure(OperationWrite, path, err)
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close() // The sync error is the one to report.
+		return &FailedError{Operation: OperationSync, Path: path, Err: err}
+	}
+	if err := file.Close(); err != nil {
+		return &FailedError{Operation: OperationSync, Path: path, Err: err}
+	}
+	return nil
+}
+
+func writeAll(file File, data []byte) error {
+	n, err := file.Write(data)
+	if err != nil {
+		return err
+	}
+	if n < len(data) {
+		return &ShortWriteError{Written: n, Given: len(data)}
+	}
+	return nil
+}
+
+func syncDirectory(files FileSystem, path string) error {
+	if err := files.SyncDirectory(path); err != nil {
+		return &FailedError{Operation: OperationSyncDirectory, Path: path, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/journal/faultfs/faultfs.go
@@ -0,0 +1,220 @@
+// Package faultfs is an in-memory journal.FileSystem for tests: it separates written from synced state, so that a
+// crash of the machine can be imitated, and lets a test fail any step.
+package faultfs
+
+import (
+	"bytes"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"sync"
+
+	"github.com/primrosebeam/primrosebeam/journal"
+)
+
+// Step is one change of the file system, before it takes effect.
+type Step struct {
+	Operation journal.Operation
+	Path      string
+	Bytes     int // length of a write
+}
+
+// PartialWriteError makes a write store only some bytes. With a nil Err the write reports no error.
+type PartialWriteError struct {
+	Bytes int
+	Err   error
+}
+
+func (e *PartialWriteError) Error() string { return "faultfs: partial write" }
+
+// Unwrap returns the error that the write reports.
+func (e *PartialWriteError) Unwrap() error { return e.Err }
+
+// FS is safe for concurrent use.
+type FS struct {
+	mu      sync.Mutex
+	entries map[string]*inode // as processes see them
+	durable map[string]*inode // as they are after a crash
+	locks   map[string]bool
+	fault   func(Step) error
+}
+
+type inode struct {
+	data   []byte
+	synced []byte
+}
+
+// New returns an empty file system.
+func New() *FS {
+	return &FS{entries: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}}
+}
+
+// SetFault installs a function that is asked before each step; a non-nil error fails the step. Nil removes it.
+func (f *FS) SetFault(fault func(Step) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+// Content chooses what a file holds after a crash.
+type Content func(path string, synced, written []byte) []byte
+
+// Synced keeps only synced content.
+func Synced(_ string, synced, _ []byte) []byte { return synced }
+
+// Written keeps everything, as when only the process died.
+func Written(_ string, _, written []byte) []byte { return written }
+
+// Crash returns the file system after a crash of the machine. Directory entries that were not synced are lost,
+// unless keepEntries is set: the operating system may have written them by itself.
+func (f *FS) Crash(content Content, keepEntries bool) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	after := New()
+	entries := f.durable
+	if keepEntries {
+		entries = f.entries
+	}
+	for path, node := range entries {
+		data := bytes.Clone(content(path, node.synced, node.data))
+		kept := &inode{data: data, synced: bytes.Clone(data)}
+		after.entries[path] = kept
+		after.durable[path] = kept
+	}
+	return after
+}
+
+// Edit changes the content of a file in place and durably.
+func (f *FS) Edit(path string, edit func([]byte) []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.entries[path]
+	node.data = edit(bytes.Clone(node.data))
+	node.synced = bytes.Clone(node.data)
+}
+
+// MakeDirectory implements journal.FileSystem. Directories need no entry here.
+func (f *FS) MakeDirectory(string) error { return nil }
+
+// List implements journal.FileSystem.
+func (f *FS) List(path string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.entries {
+		if filepath.Dir(name) == filepath.Clean(path) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	return names, nil
+}
+
+// ReadFile implements journal.FileSystem.
+func (f *FS) ReadFile(path string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, found := f.entries[path]
+	if !found {
+		return nil, &fs.PathError{Op: "read", Path: path, Err: fs.ErrNotExist}
+	}
+	return bytes.Clone(node.data), nil
+}
+
+// Create implements journal.FileSystem.
+func (f *FS) Create(path string) (journal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.check(Step{Operation: journal.OperationCreate, Path: path}); err != nil {
+		return nil, err
+	}
+	node, found := f.entries[path]
+	if !found {
+		node = &inode{}
+		f.entries[path] = node
+	}
+	node.data = nil
+	return &file{fs: f, path: path, node: node}, nil
+}
+
+// Append implements journal.FileSystem.
+func (f *FS) Append(path string) (journal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, found := f.entries[path]
+	if !found {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: fs.ErrNotExist}
+	}
+	return &file{fs: f, path: path, node: node}, nil
+}
+
+// Rename implements journal.FileSystem.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.check(Step{Operation: journal.OperationRename, Path: to}); err != nil {
+		return err
+	}
+	f.entries[to] = f.entries[from]
+	delete(f.entries, from)
+	return nil
+}
+
+// Remove implements journal.FileSystem.
+func (f *FS) Remove(path string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.check(Step{Operation: journal.OperationRemove, Path: path}); err != nil {
+		return err
+	}
+	delete(f.entries, path)
+	return nil
+}
+
+// SyncDirectory implements journal.FileSystem.
+func (f *FS) SyncDirectory(path string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.check(Step{Operation: journal.OperationSyncDirectory, Path: path}); err != nil {
+		return err
+	}
+	for name := range f.durable {
+		if filepath.Dir(name) == filepath.Clean(path) {
+			delete(f.durable, name)
+		}
+	}
+	for name, node := range f.entries {
+		if filepath.Dir(name) == filepath.Clean(path) {
+			f.durable[name] = node
+		}
+	}
+	return nil
+}
+
+// Lock implements journal.FileSystem.
+func (f *FS) Lock(path string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locks[path] {
+		return nil, &journal.LockedError{Path: path}
+	}
+	f.locks[path] = true
+	return unlock(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.locks, path)
+	}), nil
+}
+
+func (f *FS) check(s Step) error {
+	if f.fault == nil {
+		return nil
+	}
+	return f.fault(s)
+}
+
+type unlock func()
+
+func (u unlock) Close() error {
+	u()
+	return nil
+}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,404 @@
+package journal_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/journal"
+	"github.com/primrosebeam/primrosebeam/journal/faultfs"
+)
+
+const directory = "/data/journal"
+
+func open(t *testing.T, files journal.FileSystem) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(journal.Options{Directory: directory, SegmentBytes: 400, Files: files})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+func payload(i int) []byte { return fmt.Appendf(nil, "record %d %s", i, strings.Repeat("x", i%50)) }
+
+func appendRange(t *testing.T, j *journal.Journal, from, to int) {
+	t.Helper()
+	for i := from; i <= to; i++ {
+		s, err := j.Append(payload(i))
+		if err != nil || int(s) != i {
+			t.Fatalf("append %d: sequence %d, %v", i, s, err)
+		}
+	}
+}
+
+// expect checks that exactly the records from..to are stored with their content.
+func expect(t *testing.T, j *journal.Journal, from, to int) {
+	t.Helper()
+	next := from
+	err := j.Replay(journal.Sequence(from), func(s journal.Sequence, data []byte) error {
+		if int(s) != next || !bytes.Equal(data, payload(next)) {
+			t.Fatalf("got record %d %q, want %d", s, data, next)
+		}
+		next++
+		return nil
+	})
+	if err != nil || next != to+1 {
+		t.Fatalf("replay ended before %d, want through %d: %v", next, to, err)
+	}
+}
+
+func last(t *testing.T, files *faultfs.FS, prefix string) string {
+	t.Helper()
+	names, _ := files.List(directory)
+	newest := ""
+	for _, name := range names {
+		if strings.HasPrefix(name, prefix) && name > newest {
+			newest = name
+		}
+	}
+	return directory + "/" + newest
+}
+
+func failOnce(op journal.Operation, prefix string, err error) func(faultfs.Step) error {
+	done := false
+	return func(s faultfs.Step) error {
+		if done || s.Operation != op || !strings.HasPrefix(s.Path, directory+prefix) {
+			return nil
+		}
+		done = true
+		return err
+	}
+}
+
+// Guards against records that are lost or repeated across segments and reopening, on a real file system.
+func TestRecordsSurviveReopening(t *testing.T) {
+	is := is.New(t)
+	o := journal.Options{Directory: t.TempDir() + "/a/b", SegmentBytes: 400}
+	j, err := journal.Open(o)
+	is.NoErr(err)
+	appendRange(t, j, 1, 40)
+	expect(t, j, 1, 40) // also the records that are not synced
+	_, err = journal.Open(o)
+	var locked *journal.LockedError
+	is.True(errors.As(err, &locked)) // a second process must not write
+	is.NoErr(j.SaveSnapshot(30, []byte("state")))
+	is.NoErr(j.Close())
+	j, err = journal.Open(o)
+	is.NoErr(err)
+	s, data, err := j.Snapshot()
+	is.NoErr(err)
+	is.Equal(s, journal.Sequence(30))
+	is.Equal(string(data), "state")
+	expect(t, j, 31, 40)
+	is.NoErr(j.TruncateAfter(32))
+	appendRange(t, j, 33, 50)
+	is.NoErr(j.Close())
+	j, err = journal.Open(o)
+	is.NoErr(err)
+	expect(t, j, 31, 50)
+	is.NoErr(j.Close())
+}
+
+// Guards against a torn write that is taken for a record, that hides earlier records, or that blocks a restart.
+func TestTornWriteAtEveryByteIsCutOff(t *testing.T) {
+	for _, zeroFill := range []bool{false, true} {
+		files := faultfs.New()
+		j := open(t, files)
+		appendRange(t, j, 1, 3)
+		if err := j.Sync(); err != nil {
+			t.Fatal(err)
+		}
+		path := last(t, files, "segment-")
+		before, _ := files.ReadFile(path)
+		appendRange(t, j, 4, 4)
+		expect(t, j, 1, 4)
+		whole, _ := files.ReadFile(path)
+		step := 1
+		if zeroFill {
+			step = 512 // a disk writes whole sectors, and the missing ones read as zeros
+		}
+		for cut := (len(before) + step - 1) / step * step; cut < len(whole); cut += step {
+			torn := files.Crash(func(_ string, synced, written []byte) []byte {
+				kept := bytes.Clone(written[:cut])
+				if zeroFill {
+					kept = append(kept, make([]byte, len(written)-cut)...)
+				}
+				return kept
+			}, false)
+			again := open(t, torn)
+			expect(t, again, 1, 3)
+			appendRange(t, again, 4, 9)
+			if err := again.Close(); err != nil {
+				t.Fatal(err)
+			}
+			expect(t, open(t, torn), 1, 9)
+		}
+	}
+}
+
+// Guards against synced records that are dropped silently when a file was damaged: every bit flip of a durable
+// record, in the last as in earlier segments, must be reported.
+func TestDamageOfDurableRecordsIsReported(t *testing.T) {
+	files := faultfs.New()
+	j := open(t, files)
+	appendRange(t, j, 1, 30)
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	names, _ := files.List(directory)
+	for _, name := range names {
+		data, _ := files.ReadFile(directory + "/" + name)
+		for i := range data {
+			damaged := files.Crash(faultfs.Written, true)
+			damaged.Edit(directory+"/"+name, func(b []byte) []byte {
+				b[i] ^= 0x10
+				return b
+			})
+			_, err := journal.Open(journal.Options{Directory: directory, Files: damaged})
+			var corrupt *journal.CorruptError
+			if !errors.As(err, &corrupt) {
+				t.Fatalf("byte %d of %s: got %v, want *CorruptError", i, name, err)
+			}
+		}
+	}
+}
+
+// Guards against a zeroed sector of durable records that is mistaken for a torn tail: a later record proves that
+// the damaged one had been synced. Without such a proof the same picture is a crash before the sync.
+func TestZeroedSectorIsTornOnlyBeforeSync(t *testing.T) {
+	is := is.New(t)
+	for _, synced := range []bool{true, false} {
+		files := faultfs.New()
+		j, err := journal.Open(journal.Options{Directory: directory, Files: files})
+		is.NoErr(err)
+		for i := 1; i <= 4; i++ {
+			_, err = j.Append(bytes.Repeat([]byte{byte(i)}, 600))
+			is.NoErr(err)
+			if synced {
+				is.NoErr(j.Sync())
+			}
+		}
+		is.NoErr(j.Close())
+		files.Edit(last(t, files, "segment-"), func(b []byte) []byte {
+			clear(b[1024:1536])
+			return b
+		})
+		j, err = journal.Open(journal.Options{Directory: directory, Files: files})
+		var corrupt *journal.CorruptError
+		is.Equal(errors.As(err, &corrupt), synced)
+		if !synced {
+			is.NoErr(err)
+			is.Equal(j.Last(), journal.Sequence(1))
+		}
+	}
+}
+
+// Guards against a missing segment in the middle or at the start that goes unnoticed.
+func TestMissingSegmentIsReported(t *testing.T) {
+	files := faultfs.New()
+	j := open(t, files)
+	appendRange(t, j, 1, 30)
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	names, _ := files.List(directory)
+	for _, name := range names {
+		path := directory + "/" + name
+		if path == last(t, files, "segment-") {
+			continue
+		}
+		missing := files.Crash(faultfs.Written, true)
+		if err := missing.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+		_, err := journal.Open(journal.Options{Directory: directory, Files: missing})
+		var corrupt *journal.CorruptError
+		if !errors.As(err, &corrupt) {
+			t.Fatalf("%s missing: got %v", name, err)
+		}
+	}
+}
+
+// Guards against a second sync that succeeds after a failed one although pages were dropped in between.
+func TestFailedSyncPoisons(t *testing.T) {
+	faults := map[string]func(faultfs.Step) error{
+		"sync":        failOnce(journal.OperationSync, "/segment", syscall.EIO),
+		"write":       failOnce(journal.OperationWrite, "/segment", syscall.EIO),
+		"short write": failOnce(journal.OperationWrite, "/segment", &faultfs.PartialWriteError{Bytes: 5}),
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			files := faultfs.New()
+			j := open(t, files)
+			appendRange(t, j, 1, 3)
+			is.NoErr(j.Sync())
+			files.SetFault(fault)
+			appendRange(t, j, 4, 4)
+			err := j.Sync()
+			for range 2 {
+				var failed *journal.FailedError
+				is.True(errors.As(err, &failed))
+				err = j.Sync()
+			}
+			_, appendErr := j.Append(nil)
+			_, _, snapshotErr := j.Snapshot()
+			replayErr := j.Replay(1, func(journal.Sequence, []byte) error { return nil })
+			for _, other := range []error{appendErr, snapshotErr, replayErr, j.SaveSnapshot(3, nil), j.TruncateAfter(2), j.Close()} {
+				is.Equal(other, err)
+			}
+			expect(t, open(t, files.Crash(faultfs.Synced, false)), 1, 3)
+		})
+	}
+}
+
+// Guards against a full disk that leaves a partial record behind, blocks reading, or lets later writes through.
+func TestFullDiskLeavesJournalReadable(t *testing.T) {
+	for name, bytesWritten := range map[string]int{"nothing written": 0, "partial": 40, "whole record and part": 60} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			files := faultfs.New()
+			j := open(t, files)
+			appendRange(t, j, 1, 3)
+			is.NoErr(j.Sync())
+			files.SetFault(failOnce(journal.OperationWrite, "/segment", &faultfs.PartialWriteError{Bytes: bytesWritten, Err: syscall.ENOSPC}))
+			appendRange(t, j, 4, 5)
+			var full *journal.FullError
+			is.True(errors.As(j.Sync(), &full))
+			is.Equal(j.Last(), journal.Sequence(3))
+			expect(t, j, 1, 3)
+			_, err := j.Append(nil)
+			is.True(errors.As(err, &full))
+			expect(t, open(t, files.Crash(faultfs.Synced, false)), 1, 3)
+			expect(t, open(t, files.Crash(faultfs.Written, true)), 1, 3)
+		})
+	}
+}
+
+// Guards against a full disk while a snapshot is saved that costs the old snapshot or records.
+func TestFullDiskDuringSnapshotKeepsThePreviousOne(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	j := open(t, files)
+	appendRange(t, j, 1, 30)
+	is.NoErr(j.SaveSnapshot(10, []byte("old")))
+	files.SetFault(failOnce(journal.OperationWrite, "/snapshot", &faultfs.PartialWriteError{Bytes: 3, Err: syscall.ENOSPC}))
+	var full *journal.FullError
+	is.True(errors.As(j.SaveSnapshot(20, []byte("new")), &full))
+	s, data, err := j.Snapshot()
+	is.NoErr(err)
+	is.Equal(s, journal.Sequence(10))
+	is.Equal(string(data), "old")
+	appendRange(t, j, 31, 40)
+	is.NoErr(j.Sync())
+	is.NoErr(j.SaveSnapshot(40, []byte("later"))) // space is available again
+	expect(t, open(t, files.Crash(faultfs.Synced, false)), 41, 40)
+}
+
+// Guards against a crash at any step of a change that loses acknowledged state. The test fails every step in turn
+// and crashes the machine there, with unsynced directory entries both lost and kept.
+func TestCrashAtEveryStep(t *testing.T) {
+	type change struct {
+		run         func(*journal.Journal) error
+		first, last int // records stored after the change; before it 1..40 with a snapshot at 5
+		snapshot    string
+	}
+	changes := map[string]change{
+		"snapshot":               {func(j *journal.Journal) error { return j.SaveSnapshot(20, []byte("new")) }, 21, 40, "new"},
+		"snapshot of everything": {func(j *journal.Journal) error { return j.SaveSnapshot(40, []byte("new")) }, 41, 40, "new"},
+		"snapshot ahead":         {func(j *journal.Journal) error { return j.SaveSnapshot(70, []byte("new")) }, 71, 70, "new"},
+		"truncate":               {func(j *journal.Journal) error { return j.TruncateAfter(12) }, 6, 12, "old"},
+	}
+	crashed := errors.New("crashed")
+	for name, c := range changes {
+		for _, keep := range []bool{false, true} {
+			for step := 0; ; step++ {
+				files := faultfs.New()
+				j := open(t, files)
+				appendRange(t, j, 1, 5)
+				if err := j.SaveSnapshot(5, []byte("old")); err != nil {
+					t.Fatal(err)
+				}
+				appendRange(t, j, 6, 40)
+				if err := j.Sync(); err != nil {
+					t.Fatal(err)
+				}
+				count := 0
+				files.SetFault(func(faultfs.Step) error {
+					count++
+					if count > step {
+						return crashed
+					}
+					return nil
+				})
+				err := c.run(j)
+				after := files.Crash(faultfs.Synced, keep)
+				again := open(t, after)
+				_, data, snapshotErr := again.Snapshot()
+				if snapshotErr != nil {
+					t.Fatal(snapshotErr)
+				}
+				switch {
+				case err == nil || string(data) == "new":
+					if string(data) != c.snapshot {
+						t.Fatalf("%s step %d: snapshot %q", name, step, data)
+					}
+					expect(t, again, c.first, c.last)
+				case int(again.Last()) < 12 || int(again.Last()) > 40:
+					t.Fatalf("%s step %d: last %d", name, step, again.Last())
+				default:
+					if name != "truncate" && again.Last() != 40 {
+						t.Fatalf("%s step %d: last %d", name, step, again.Last())
+					}
+					expect(t, again, 6, int(again.Last()))
+				}
+				if _, err := again.Append([]byte("more")); err != nil {
+					t.Fatal(err)
+				}
+				if err := again.Close(); err != nil {
+					t.Fatal(err)
+				}
+				open(t, after)
+				if err == nil {
+					break
+				}
+			}
+		}
+	}
+}
+
+// Guards against an identity file that is half written or lost after a crash at any step of its replacement.
+func TestAtomicFileHasOldOrNewContent(t *testing.T) {
+	path := directory + "/identity"
+	for _, keep := range []bool{false, true} {
+		for step := 0; ; step++ {
+			files := faultfs.New()
+			if err := journal.WriteFileAtomic(files, path, []byte("old")); err != nil {
+				t.Fatal(err)
+			}
+			count := 0
+			files.SetFault(func(faultfs.Step) error {
+				count++
+				if count > step {
+					return syscall.EIO
+				}
+				return nil
+			})
+			err := journal.WriteFileAtomic(files, path, []byte("new"))
+			after := files.Crash(faultfs.Synced, keep)
+			data, readErr := after.ReadFile(path)
+			if readErr != nil || (string(data) != "old" && string(data) != "new") || (err == nil && string(data) != "new") {
+				t.Fatalf("step %d: %q, %v", step, data, readErr)
+			}
+			if err == nil {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/journal/segment.go
@@ -0,0 +1,141 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// A segment file starts with a magic number, the sequence of its first record and a checksum of both.
+// It is synced completely before the next segment is created, so only the last one can have a torn tail.
+const (
+	segmentMagic       = "pbjrnl\x00\x01"
+	segmentHeaderBytes = len(segmentMagic) + 8 + 4
+	segmentPrefix      = "segment-"
+	snapshotPrefix     = "snapshot-"
+)
+
+type segment struct {
+	path  string
+	first Sequence // of the first record, also when there is none yet
+	last  Sequence // first-1 when there is no record
+	bytes int64    // up to the end of the last record
+}
+
+func sequenceName(prefix string, s Sequence) string { return fmt.Sprintf("%s%020d", prefix, s) }
+
+// listSequences returns the sequence numbers in the names with the prefix, in ascending order.
+func listSequences(names []string, prefix string) []Sequence {
+	var sequences []Sequence
+	for _, name := range names {
+		digits, found := strings.CutPrefix(name, prefix)
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseUint(digits, 10, 64)
+		if err != nil {
+			continue
+		}
+		sequences = append(sequences, Sequence(number))
+	}
+	slices.Sort(sequences)
+	return sequences
+}
+
+func segmentHeader(first Sequence) []byte {
+	header := []byte(segmentMagic)
+	header = binary.LittleEndian.AppendUint64(header, uint64(first))
+	return binary.LittleEndian.AppendUint32(header, crc32.Checksum(header, castagnoli))
+}
+
+// headerIsTorn reports whether a segment was being created when the process or machine stopped. Records are
+// written only after the header was synced, so a file with more than a header cannot be in that state.
+func headerIsTorn(data []byte) bool {
+	return len(data) < segmentHeaderBytes || (len(data) == segmentHeaderBytes && hasZeroSector(data, 0, len(data)))
+}
+
+// scan checks every record of a segment and calls fn for each, which may be nil. When the data ends in an
+// undecodable record, it returns the segment up to there and damaged set.
+func (s segment) scan(data []byte, fn func(record) error) (found segment, damaged bool, err error) {
+	if !bytes.HasPrefix(data, segmentHeader(s.first)) {
+		return s, false, &CorruptError{Path: s.path, Reason: ReasonBadHeader}
+	}
+	s.last = s.first - 1
+	s.bytes = int64(segmentHeaderBytes)
+	for int(s.bytes) < len(data) {
+		r, size, result := decodeRecord(data[s.bytes:])
+		if result != decodeOK {
+			return s, true, nil
+		}
+		if r.sequence != s.last+1 {
+			return s, false, &CorruptError{Path: s.path, Offset: s.bytes, Reason: ReasonGap}
+		}
+		if fn != nil {
+			if err := fn(r); err != nil {
+				return s, false, err
+			}
+		}
+		s.last = r.sequence
+		s.bytes += int64(size)
+	}
+	return s, false, nil
+}
+
+func (j *Journal) segmentAt(first Sequence) segment {
+	return segment{
+		path:  filepath.Join(j.directory, sequenceName(segmentPrefix, first)),
+		first: first,
+		last:  first - 1,
+		bytes: int64(segmentHeaderBytes),
+	}
+}
+
+// createSegment makes a durable empty segment and appends to it from then on.
+func (j *Journal) createSegment(first Sequence) error {
+	s := j.segmentAt(first)
+	file, err := j.files.Create(s.path)
+	if err != nil {
+		return writeFailure(OperationCreate, s.path, err)
+	}
+	if err := writeAll(file, segmentHeader(first)); err != nil {
+		_ = file.Close() // The write error is the one to report.
+		_ = j.files.Remove(s.path)
+		return writeFailure(OperationWrite, s.path, err)
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close() // The sync error is the one to report.
+		return &FailedError{Operation: OperationSync, Path: s.path, Err: err}
+	}
+	if err := syncDirectory(j.files, j.directory); err != nil {
+		_ = file.Close() // The sync error is the one to report.
+		return err
+	}
+	if j.active != nil {
+		_ = j.active.Close() // It was synced, so closing it cannot lose data.
+	}
+	j.active = file
+	j.segments = append(j.segments, s)
+	j.last = first - 1
+	j.durable = first - 1
+	j.durableBytes = s.bytes
+	return nil
+}
+
+// removeSegments removes files in the given order and syncs the directory after each, because a crash could
+// otherwise keep a later removal and undo an earlier one, which would leave a gap.
+func (j *Journal) removeSegments(segments []segment) error {
+	for _, s := range segments {
+		if err := j.files.Remove(s.path); err != nil {
+			return &FailedError{Operation: OperationRemove, Path: s.path, Err: err}
+		}
+		if err := syncDirectory(j.files, j.directory); err != nil {
+			return err
+		}
+	}
+	return nil
+}
