--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/primrosebeam/primrosebeam/configuration"
 	"github.com/primrosebeam/primrosebeam/internal/dispatch"
 	"github.com/primrosebeam/primrosebeam/internal/entry"
+	"github.com/primrosebeam/primrosebeam/internal/poll"
 	"github.com/primrosebeam/primrosebeam/internal/upstream"
 	"github.com/primrosebeam/primrosebeam/scheduler"
 )
@@ -75,6 +76,7 @@
 	upstream  *upstream.Client
 	dispatch  *dispatch.Duty
 	entry     *entry.Handler
+	poll      *poll.Manager
 	callers   *server
 	operators *server
 }
@@ -95,6 +97,12 @@
 		BodyBytes:   o.Limits.BodyBytes,
 		AnswerBytes: o.Limits.AnswerBytes,
 	})
+	i.poll = poll.New(poll.Options{
+		Upstream: i.upstream,
+		Deliver:  i.deliver,
+		Logger:   o.Logger,
+		Metrics:  i.metrics,
+	})
 	var err error
 	if i.callers, err = newServer(o.Listen.Callers, i.entry, o.Limits); err != nil {
 		return nil, err
@@ -136,6 +144,7 @@
 		}()
 	}
 	start("dispatch", i.dispatch.Run)
+	start("poll", i.poll.Run)
 	start("callers", i.callers.serve)
 	start("operators", i.operators.serve)
 	if i.options.Configuration != nil {
@@ -183,9 +192,34 @@
 		return fmt.Errorf("instance: version %d: %w", version, err)
 	}
 	i.entry.Configure(view)
+	i.poll.SetTargets(pollTargets(view))
 	return nil
 }
 
+// pollTargets lists the engines of a configuration; an engine has a prefix cache when a model service selects it.
+func pollTargets(view *configuration.View) []poll.Target {
+	models := map[string]bool{}
+	for _, service := range view.Policy("").Services {
+		for _, engine := range view.Document().Engines {
+			if service.Kind == scheduler.KindModel && service.Selector.Matches(engine.Labels) {
+				models[engine.Name] = true
+			}
+		}
+	}
+	var targets []poll.Target
+	for _, engine := range view.Document().Engines {
+		targets = append(targets, poll.Target{Name: engine.Name, URL: engine.URL, Model: models[engine.Name]})
+	}
+	return targets
+}
+
+// deliver hands a report to the scheduler. A report that finds the ring full is dropped: the next one replaces it.
+func (i *Instance) deliver(e scheduler.Event) {
+	if err := i.dispatch.Post(e); err != nil {
+		i.metrics.GetOrCreateCounter("primrosebeam_dispatch_dropped_reports_total").Inc()
+	}
+}
+
 // server is an HTTP server on an open listener.
 type server struct {
 	listener net.Listener
--- /dev/null
+++ b/internal/poll/poll.go
@@ -0,0 +1,216 @@
+// Package poll asks engines for their load, their cache changes and whether they are leaving.
+package poll
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+	"github.com/primrosebeam/primrosebeam/scheduler"
+)
+
+const (
+	// DefaultInterval between two polls of an engine. A leaving engine must be known everywhere
+	// within 3 s, of which polling may take a sixth.
+	DefaultInterval = 500 * time.Millisecond
+	// pollTimeout bounds one poll; an engine that answers later counts as unreachable.
+	pollTimeout = 1 * time.Second
+)
+
+// Target is an engine to poll.
+type Target struct {
+	Name  string
+	URL   string
+	Model bool // has a prefix cache
+}
+
+// Options configures a Manager.
+type Options struct {
+	Upstream *upstream.Client
+	Interval time.Duration // 0 means DefaultInterval
+	// Selected tells whether this instance polls an engine; nil means all.
+	Selected func(engine string) bool
+	// Deliver receives *scheduler.LoadReport, CacheEvents and EngineState events; it must not block.
+	Deliver func(scheduler.Event)
+	Logger  zerolog.Logger
+	Metrics *metrics.Set
+}
+
+// Manager runs one duty for each engine that this instance polls. It is safe for concurrent use.
+type Manager struct {
+	options Options
+
+	mu      sync.Mutex
+	ctx     context.Context
+	workers map[Target]*worker
+	running sync.WaitGroup
+}
+
+// New returns a manager without targets.
+func New(o Options) *Manager {
+	if o.Interval == 0 {
+		o.Interval = DefaultInterval
+	}
+	return &Manager{options: o, workers: map[Target]*worker{}}
+}
+
+// Run polls until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	for _, w := range m.workers {
+		m.start(w)
+	}
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.running.Wait()
+	return ctx.Err()
+}
+
+// SetTargets replaces the engines to poll.
+func (m *Manager) SetTargets(targets []Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for target, w := range m.workers {
+		if !slices.Contains(targets, target) {
+			w.stop()
+			delete(m.workers, target)
+		}
+	}
+	for _, target := range targets {
+		if _, exists := m.workers[target]; exists {
+			continue
+		}
+		w := &worker{manager: m, target: target, stop: func() {}}
+		m.workers[target] = w
+		if m.ctx != nil {
+			m.start(w)
+		}
+	}
+}
+
+func (m *Manager) start(w *worker) {
+	ctx, cancel := context.WithCancel(m.ctx)
+	w.stop = cancel
+	m.running.Go(func() { w.run(ctx) })
+}
+
+// State is the last poll of one engine, for dumps.
+type State struct {
+	Engine    string    `json:"engine"`
+	Reachable bool      `json:"reachable"`
+	Leaving   bool      `json:"leaving"`
+	PolledAt  time.Time `json:"polledAt"`
+}
+
+// State returns the last poll of each engine that this instance polls.
+func (m *Manager) State() []State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	states := []State{}
+	for _, w := range m.workers {
+		w.mu.Lock()
+		if !w.last.PolledAt.IsZero() {
+			states = append(states, w.last)
+		}
+		w.mu.Unlock()
+	}
+	slices.SortFunc(states, func(a, b State) int { return a.PolledAt.Compare(b.PolledAt) })
+	return states
+}
+
+// worker polls one engine.
+type worker struct {
+	manager *Manager
+	target  Target
+	stop    context.CancelFunc
+
+	nextChange  uint64 // sequence number of the next cache change
+	incarnation uint64
+
+	mu   sync.Mutex
+	last State
+}
+
+func (w *worker) run(ctx context.Context) {
+	ticker := time.NewTicker(w.manager.options.Interval)
+	defer ticker.Stop()
+	for {
+		if selected := w.manager.options.Selected; selected == nil || selected(w.target.Name) {
+			w.poll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *worker) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	lifecycle, err := w.manager.options.Upstream.FetchLifecycle(ctx, w.target.Name, w.target.URL)
+	if err != nil {
+		w.unreachable(err)
+		return
+	}
+	if lifecycle.Incarnation != w.incarnation {
+		w.incarnation = lifecycle.Incarnation
+		w.nextChange = 0
+	}
+	w.note(State{Engine: w.target.Name, Reachable: true, Leaving: lifecycle.Leaving, PolledAt: time.Now()})
+	w.manager.options.Deliver(scheduler.EngineState{
+		Engine: w.target.Name, Incarnation: lifecycle.Incarnation, Leaving: lifecycle.Leaving, Reachable: true,
+	})
+	w.pollLoad(ctx)
+	if w.target.Model {
+		w.pollCache(ctx)
+	}
+}
+
+func (w *worker) unreachable(err error) {
+	w.manager.options.Metrics.GetOrCreateCounter("primrosebeam_poll_failures_total").Inc()
+	w.mu.Lock()
+	changed := w.last.Reachable || w.last.PolledAt.IsZero()
+	w.mu.Unlock()
+	if changed {
+		w.manager.options.Logger.Warn().Str("engine", w.target.Name).Err(err).Msg("engine does not answer polls")
+	}
+	w.note(State{Engine: w.target.Name, PolledAt: time.Now()})
+	w.manager.options.Deliver(scheduler.EngineState{Engine: w.target.Name, Incarnation: w.incarnation})
+}
+
+func (w *worker) pollLoad(ctx context.Context) {
+	load, err := w.manager.options.Upstream.FetchLoad(ctx, w.target.Name, w.target.URL)
+	if err != nil {
+		return // The next poll asks again; the report's age tells how stale it is.
+	}
+	w.manager.options.Deliver(scheduler.LoadReport{
+		Engine: w.target.Name, At: load.At, Running: load.Running, Waiting: load.Waiting, KVUsed: load.KVUsed,
+	})
+}
+
+func (w *worker) pollCache(ctx context.Context) {
+	batch, err := w.manager.options.Upstream.FetchCacheEvents(ctx, w.target.Name, w.target.URL, w.nextChange)
+	if err != nil || len(batch.Changes) == 0 {
+		return
+	}
+	event := scheduler.CacheEvents{Engine: w.target.Name, First: batch.First}
+	for _, change := range batch.Changes {
+		event.Changes = append(event.Changes, scheduler.CacheChange(change))
+	}
+	w.nextChange = batch.First + uint64(len(batch.Changes))
+	w.manager.options.Deliver(event)
+}
+
+func (w *worker) note(s State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = s
+}
