--- a/ledger/record.go
+++ b/ledger/record.go
@@ -178,12 +178,17 @@
 // Snapshot returns the state that Restore reads. Every returned record must have been committed. Entries that were
 // dropped are missing from it, and the time that proves their expiry is in it.
 func (l *Ledger) Snapshot() ([]byte, error) {
-	ids := make([]ID, 0, len(l.keys))
-	for id := range l.keys {
-		ids = append(ids, id)
+	type numbered struct {
+		number uint64
+		id     ID
+		entry  *entry
+	}
+	all := make([]numbered, 0, len(l.keys))
+	for id, e := range l.keys {
+		all = append(all, numbered{number: e.number, id: id, entry: e})
 	}
 	// The order of the last change keeps the copies of answers in their order.
-	slices.SortFunc(ids, func(a, b ID) int { return cmp.Compare(l.keys[a].number, l.keys[b].number) })
+	slices.SortFunc(all, func(a, b numbered) int { return cmp.Compare(a.number, b.number) })
 	var out bytes.Buffer
 	stream := encoder.NewEncoder(&out)
 	header := snapshotHeader{
@@ -191,13 +196,13 @@
 		Time:        l.highest,
 		Incarnation: l.incarnation,
 		Epoch:       l.epoch,
-		Entries:     len(ids),
+		Entries:     len(all),
 	}
 	if err := stream.Encode(header); err != nil {
 		return nil, &RecordError{Version: recordVersion, Err: err}
 	}
-	for _, id := range ids {
-		if err := stream.Encode(l.keys[id].stored(id)); err != nil {
+	for _, n := range all {
+		if err := stream.Encode(n.entry.stored(n.id)); err != nil {
 			return nil, &RecordError{Version: recordVersion, Err: err}
 		}
 	}
