Answer keyed requests through the ledger

Cause: a resend after a lost answer ran a second time. Change: POST /v1/keys and GET /v1/keys/{key}; a keyed request claims before it waits and begins once a connection stands and before the first byte; rejects release the claim before not-run is told; a resend joins the stream, gets the stored answer or is told undetermined; redispatch on routes that allow it. Conclusion: compiles against ledger.Claimer; not wired to an owner yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/primrosebeam/primrosebeam/configuration"
 	"github.com/primrosebeam/primrosebeam/internal/dispatch"
 	"github.com/primrosebeam/primrosebeam/internal/upstream"
+	"github.com/primrosebeam/primrosebeam/ledger"
 )
 
 // maxAttempt bounds the work on one request after dispatch, so that a silent engine cannot hold it for ever.
@@ -22,7 +24,9 @@
 
 // Options configures a Handler.
 type Options struct {
+	Name        string // of the instance
 	DataCentre  string
+	Keys        ledger.Claimer // nil when no instance owns keys
 	Dispatch    *dispatch.Duty
 	Upstream    *upstream.Client
 	Logger      zerolog.Logger
@@ -88,13 +92,22 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// serve returns the problem that ends the exchange, or nil when an answer was written.
+func (x *exchange) serve() *Problem {
+	path := x.incoming.URL.Path
+	if path == pathKeys || strings.HasPrefix(path, keysPrefix) {
+		return x.serveKeys()
+	}
+	if problem := x.classify(); problem != nil {
+		return problem
+	}
+	return x.run()
+}
+
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	x := &exchange{handler: h, id: newRequestID(), writer: w, incoming: r}
-	problem := x.classify()
-	if problem == nil {
-		problem = x.run()
-	}
+	problem := x.serve()
 	if problem != nil {
 		x.outcome = problem.Outcome
 		writeProblem(w, x.id, problem)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,7 +30,10 @@
 	tier      int
 	body      []byte
 	estimate  estimate
+	stream    bool   // the caller asked for events
+	key       *keyed // nil without an idempotency key
 
+	sends   int // attempts of which a byte may have reached an engine
 	engine  string
 	outcome Outcome
 	status  int
@@ -39,8 +42,8 @@
 
 func newRequestID() string { return strings.ToLower(rand.Text()) }
 
-// classify authenticates the request and finds its service, tier and cost. It changes nothing outside the exchange.
-func (x *exchange) classify() *Problem {
+// authenticate finds the workspace under the configuration in force.
+func (x *exchange) authenticate() *Problem {
 	x.view = x.handler.view.Load()
 	if x.view == nil || x.handler.stopping.Load() {
 		problem := problemNotReady
@@ -53,6 +56,14 @@
 		return &problemToken
 	}
 	x.workspace = workspace
+	return nil
+}
+
+// classify authenticates the request and finds its service, tier and cost. It changes nothing outside the exchange.
+func (x *exchange) classify() *Problem {
+	if problem := x.authenticate(); problem != nil {
+		return problem
+	}
 	route, err := x.view.Route(x.incoming.Method, x.incoming.URL.Path)
 	var method *configuration.MethodError
 	switch {
@@ -88,6 +99,7 @@
 		return problemBody.with(err.Error())
 	}
 	x.estimate = request.estimate()
+	x.stream = request.Stream
 	return nil
 }
 
@@ -126,9 +138,9 @@
 }
 
 // outlivesCaller reports whether the request goes on when its caller leaves: breaking off a
-// non-idempotent call would leave its outcome unknown.
+// non-idempotent call would leave its outcome unknown, and a caller with a key may come back for its answer.
 func (x *exchange) outlivesCaller() bool {
-	return !x.route.Idempotent && x.route.Service.Kind == configuration.KindPlain
+	return x.key != nil || !x.route.Idempotent && x.route.Service.Kind == configuration.KindPlain
 }
 
 // attemptContext returns the context of the work after dispatch.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,10 +23,14 @@
 
 // relay carries one engine's answer to the caller.
 type relay struct {
-	exchange *exchange
-	ticket   *dispatch.Ticket
-	response *http.Response
-	finish   scheduler.Finish
+	exchange   *exchange
+	ticket     *dispatch.Ticket // nil when the first attempt's stream is joined
+	response   *http.Response
+	owner      string // request ID that every event must carry
+	finish     scheduler.Finish
+	copy       copyBuffer // of a stream, for the owner of the key
+	started    bool       // the first byte was reported
+	callerLost bool       // the answer is read to its end without the caller
 }
 
 // run returns a problem only while nothing was written to the caller.
@@ -45,6 +49,7 @@
 
 // relayAnswer holds an answer of bounded size until it is whole; a larger one is passed on as it comes.
 func (r *relay) relayAnswer(ctx context.Context) *Problem {
+	r.firstByte()
 	limit := r.exchange.handler.options.AnswerBytes
 	start, err := io.ReadAll(io.LimitReader(r.response.Body, int64(limit)+1))
 	if err != nil {
@@ -54,22 +59,43 @@
 		r.finish.Result = scheduler.ResultFailed
 	}
 	if len(start) <= limit {
+		r.readUsage(start)
 		r.writeWhole(start)
+		r.exchange.store(r.stored(start, false))
 		return nil
 	}
 	r.writeHeader(-1, OutcomeAnswered)
-	if _, err := r.exchange.writer.Write(start); err != nil {
+	if err := r.writeBody(start); err != nil {
 		r.callerGone()
 		return nil
 	}
-	if _, err := io.Copy(r.exchange.writer, r.response.Body); err != nil {
+	if err := r.copyBody(); err != nil {
 		r.cut()
+		return nil
 	}
+	r.exchange.store(r.stored(nil, true))
 	return nil
 }
 
+// firstByte reports the start of the answer once.
+func (r *relay) firstByte() {
+	if r.ticket == nil || r.started {
+		return
+	}
+	r.started = true
+	r.ticket.FirstToken()
+}
+
+func (r *relay) copyBody() error {
+	if r.callerLost {
+		_, err := io.Copy(io.Discard, r.response.Body)
+		return err
+	}
+	_, err := io.Copy(r.exchange.writer, r.response.Body)
+	return err
+}
+
 func (r *relay) writeWhole(body []byte) {
-	r.exchange.outcome = OutcomeAnswered
 	header := r.exchange.writer.Header()
 	for name := range r.response.Trailer {
 		header.Add("Trailer", name)
@@ -80,11 +106,15 @@
 	}
 	r.writeHeader(length, OutcomeAnswered)
 	if r.exchange.incoming.Method != http.MethodHead {
-		_, _ = r.exchange.writer.Write(body)
+		_ = r.writeBody(body)
 	}
 	for name, values := range r.response.Trailer {
 		header[name] = values
 	}
+	if r.exchange.key != nil {
+		// The caller need not wait until the owner has stored the answer.
+		_ = r.flush(http.NewResponseController(r.exchange.writer))
+	}
 }
 
 func (r *relay) writeHeader(length int, outcome Outcome) {
@@ -110,101 +140,99 @@
 	x := r.exchange
 	x.writer.Header().Add("Trailer", HeaderOutcome)
 	r.writeHeader(-1, "")
-	stream := upstream.NewEventStream(r.response.Body, "")
+	lastID := ""
 	for attempt := 0; ; attempt++ {
-		err := r.copyEvents(stream)
+		stream := upstream.NewEventStream(r.response.Body, lastID)
+		err := r.copyEvents(stream, &lastID)
 		r.finish.OutputTokens += stream.Events()
-		if errors.Is(err, io.EOF) {
-			x.outcome = OutcomeAnswered
-			x.writer.Header().Set(HeaderOutcome, string(OutcomeAnswered))
+		if r.finishedStream(err) {
 			return nil
 		}
-		if x.incoming.Context().Err() != nil {
+		if r.abandoned() {
 			r.callerGone()
 			return nil
 		}
 		x.handler.options.Logger.Warn().Str("request", x.id).Str("engine", x.engine).Err(err).Msg("stream broke off")
 		var mismatch *upstream.MismatchError
-		if errors.As(err, &mismatch) {
-			r.cut()
-			return nil
-		}
-		resumed := r.resume(ctx, stream, attempt)
-		if resumed == nil {
+		if errors.As(err, &mismatch) || !r.resume(ctx, lastID, attempt) {
 			r.cut()
 			return nil
 		}
-		stream = resumed
 	}
 }
 
-func (r *relay) copyEvents(stream *upstream.EventStream) error {
-	x := r.exchange
-	controller := http.NewResponseController(x.writer)
+// copyEvents copies whole events and keeps the ID of the last one that was passed on in lastID.
+func (r *relay) copyEvents(stream *upstream.EventStream, lastID *string) error {
+	controller := http.NewResponseController(r.exchange.writer)
 	reported := 0
 	for {
 		event, err := stream.Next()
 		if err != nil {
-			_ = controller.Flush()
+			_ = r.flush(controller)
 			return err
 		}
-		if owner, named := upstream.RequestOfEvent(stream.LastID()); named && owner != x.id {
-			x.handler.count("mismatched_answers_total")
-			return &upstream.MismatchError{Engine: x.engine, Want: x.id, Got: owner}
+		if err := r.mismatch(stream.LastID()); err != nil {
+			return err
 		}
-		if _, err := x.writer.Write(event); err != nil {
+		if err := r.writeBody(event); err != nil {
 			return err
 		}
+		*lastID = stream.LastID()
+		if stream.Events() == 1 {
+			r.firstByte()
+		}
+		if r.exchange.key != nil {
+			r.copy.add(event)
+		}
 		if stream.Buffered() == 0 {
-			if err := controller.Flush(); err != nil {
+			if err := r.flush(controller); err != nil {
 				return err
 			}
 		}
-		if stream.Events()-reported >= progressInterval {
+		if r.ticket != nil && stream.Events()-reported >= progressInterval {
 			r.ticket.Progress(stream.Events() - reported)
 			reported = stream.Events()
 		}
 	}
 }
 
-// resume continues a broken stream on the same engine by request ID and last event ID. It returns
-// nil when that is not possible. A stream without event IDs cannot be resumed without repeating events.
-func (r *relay) resume(ctx context.Context, broken *upstream.EventStream, attempt int) *upstream.EventStream {
+// resume continues a broken stream on the same engine by request ID and last event ID; it reports
+// whether that was possible. A stream without event IDs cannot be resumed without repeating events.
+func (r *relay) resume(ctx context.Context, lastID string, attempt int) bool {
 	x := r.exchange
-	if broken.LastID() == "" {
-		return nil
+	if lastID == "" {
+		return false
 	}
 	for ; attempt < resumeAttempts; attempt++ {
 		select {
 		case <-time.After(resumeBackoff << attempt):
 		case <-ctx.Done():
-			return nil
+			return false
 		}
-		response, err := x.handler.options.Upstream.Resume(ctx, x.engine, x.view.urls[x.engine], x.id, broken.LastID())
+		response, err := x.handler.options.Upstream.Resume(ctx, x.engine, x.view.urls[x.engine], r.owner, lastID)
 		if err == nil {
 			r.response.Body.Close()
 			r.response.Body = response.Body
 			x.handler.count("resumed_streams_total")
-			return upstream.NewEventStream(response.Body, broken.LastID())
+			return true
 		}
 		var status *upstream.StatusError
 		if errors.As(err, &status) {
-			return nil
+			return false
 		}
 	}
-	return nil
+	return false
 }
 
 // broken handles an answer that broke off before anything was written to the caller.
 func (r *relay) broken(ctx context.Context, err error) *Problem {
 	x := r.exchange
 	x.handler.options.Logger.Warn().Str("request", x.id).Str("engine", x.engine).Err(err).Msg("answer broke off")
+	r.finish.Result = attemptEnded(ctx)
 	if ctx.Err() != nil {
 		x.cancelUpstream()
-		r.finish.Result = scheduler.ResultCancelled
 		return problemBroken.with("the caller has gone")
 	}
-	r.finish.Result = scheduler.ResultFailed
 	return problemBroken.with("the engine's answer broke off")
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -14,23 +14,25 @@
 // busyRetryAfter is told to callers that meet a full instance.
 const busyRetryAfter = time.Second
 
-// run takes a classified request through the queue to an engine and relays the answer.
-// A problem is returned only while nothing was written to the caller.
+// run takes a classified request through the ledger and the queue to an engine and relays the
+// answer. A problem is returned only while nothing was written to the caller.
 func (x *exchange) run() *Problem {
+	if problem, done := x.claim(); done {
+		return problem
+	}
 	ticket, err := x.handler.options.Dispatch.Submit(x.schedulerRequest())
 	if err != nil {
 		problem := problemOverloaded.with("the instance holds as many requests as it may")
 		problem.RetryAfter = busyRetryAfter
-		return problem
+		return x.notRun(problem)
 	}
 	for {
 		decision := x.await(ticket)
 		switch {
 		case decision.Withdrawn():
-			x.outcome = OutcomeNotRun
-			return problemOverloaded.with("the caller has gone")
+			return x.notRun(problemOverloaded.with("the caller has gone"))
 		case decision.Reject != nil:
-			return rejectProblem(decision.Reject)
+			return x.notRun(rejectProblem(decision.Reject))
 		}
 		x.engine = decision.Engine
 		problem, again := x.attempt(ticket)
@@ -65,8 +67,8 @@
 	return problem
 }
 
-// attempt sends the request to the engine that was chosen. again is true when no byte reached it,
-// so that the scheduler will decide once more.
+// attempt sends the request to the engine that was chosen. again is true when the scheduler will
+// decide once more: no byte reached the engine, or the route allows a second attempt.
 func (x *exchange) attempt(ticket *dispatch.Ticket) (problem *Problem, again bool) {
 	ctx, cancel := x.attemptContext()
 	defer cancel()
@@ -80,16 +82,38 @@
 	}
 	defer response.Body.Close()
 	x.noticeLeaving(response)
-	ticket.FirstToken()
-	relay := &relay{exchange: x, ticket: ticket, response: response}
+	relay := &relay{exchange: x, ticket: ticket, response: response, owner: x.attemptID()}
 	problem = relay.run(ctx)
+	if problem != nil && relay.finish.Result == scheduler.ResultFailed && x.mayRedispatch() {
+		ticket.Refused()
+		return nil, true
+	}
 	ticket.Finish(relay.finish)
 	return problem, false
 }
 
+// maxDispatches bounds the attempts of a request on a route that allows redispatch.
+const maxDispatches = 2
+
+// mayRedispatch reports whether a second attempt is allowed now that the first has ended. A keyed
+// request has one begin and never a second one.
+func (x *exchange) mayRedispatch() bool {
+	return x.route.Redispatch && x.key == nil && x.sends < maxDispatches && x.incoming.Context().Err() == nil
+}
+
+// attemptID is the request ID that the engine answers under. A second attempt has one of its own,
+// so that a late answer of the first one is recognised.
+func (x *exchange) attemptID() string {
+	if x.sends <= 1 {
+		return x.id
+	}
+	return x.id + "-2"
+}
+
 func (x *exchange) upstreamRequest(ticket *dispatch.Ticket) upstream.Request {
 	header := http.Header{}
 	upstream.ForwardHeader(header, x.incoming.Header, isOwnHeader)
+	x.sends++
 	return upstream.Request{
 		Engine: x.engine,
 		URL:    x.view.urls[x.engine],
@@ -97,8 +121,13 @@
 		Target: x.incoming.URL.RequestURI(),
 		Header: header,
 		Body:   x.body,
-		ID:     x.id,
-		Begin: func(context.Context) error {
+		ID:     x.attemptID(),
+		Begin: func(ctx context.Context) error {
+			if x.key != nil {
+				if err := x.key.begin(ctx, x.engine); err != nil {
+					return err
+				}
+			}
 			ticket.BytesSent()
 			return nil
 		},
@@ -117,27 +146,49 @@
 // failed handles an attempt without an answer.
 func (x *exchange) failed(ctx context.Context, ticket *dispatch.Ticket, err error) (problem *Problem, again bool) {
 	x.handler.options.Logger.Warn().Str("request", x.id).Str("engine", x.engine).Err(err).Msg("attempt failed")
-	if upstream.IsNotSent(err) {
-		if ctx.Err() != nil {
-			ticket.Finish(scheduler.Finish{Result: scheduler.ResultCancelled})
-			return problemOverloaded.with("the caller has gone"), false
-		}
-		ticket.Refused()
-		return nil, true
-	}
-	if ctx.Err() != nil {
-		x.cancelUpstream()
+	switch {
+	case isLedgerRefusal(err):
 		ticket.Finish(scheduler.Finish{Result: scheduler.ResultCancelled})
-		return problemBroken.with("the caller has gone"), false
+		return x.beginRefused(err), false
+	case upstream.IsNotSent(err):
+		return x.nothingSent(ctx, ticket)
 	}
 	var mismatch *upstream.MismatchError
 	if errors.As(err, &mismatch) {
 		x.handler.count("mismatched_answers_total")
 	}
-	ticket.Finish(scheduler.Finish{Result: scheduler.ResultFailed})
+	if ctx.Err() == nil && x.mayRedispatch() {
+		ticket.Refused()
+		return nil, true
+	}
+	if ctx.Err() != nil {
+		x.cancelUpstream()
+	}
+	ticket.Finish(scheduler.Finish{Result: attemptEnded(ctx)})
 	return problemBroken.with("the engine may have run the request"), false
 }
 
+// nothingSent handles an attempt of which no byte reached the engine. A key that has begun is bound
+// to that engine, so the request is finished as not run; without one another engine is tried.
+func (x *exchange) nothingSent(ctx context.Context, ticket *dispatch.Ticket) (problem *Problem, again bool) {
+	x.sends--
+	if ctx.Err() != nil || x.key != nil && x.key.began {
+		ticket.Finish(scheduler.Finish{Result: attemptEnded(ctx)})
+		return x.notRun(problemNoEngine.with("the engine could not be reached")), false
+	}
+	ticket.Refused()
+	return nil, true
+}
+
+// beginRefused handles a begin that the owner of the key did not grant. Nothing was sent from here,
+// but another instance may hold the key.
+func (x *exchange) beginRefused(err error) *Problem {
+	problem := x.ledgerProblem(err)
+	x.key.giveUp(x.incoming.Context())
+	problem.Outcome = OutcomeUndetermined
+	return problem
+}
+
 func (x *exchange) noticeLeaving(response *http.Response) {
 	if response.Header.Get(upstream.HeaderLeaving) == "true" && x.handler.options.OnLeaving != nil {
 		x.handler.options.OnLeaving(x.engine)
@@ -147,11 +198,14 @@
 // cancelTimeout bounds the call that cancels a request on its engine.
 const cancelTimeout = 2 * time.Second
 
-// cancelUpstream asks the engine to stop working on a request whose caller has gone.
+// cancelUpstream asks a model engine to stop working on a request whose caller has gone.
 func (x *exchange) cancelUpstream() {
+	if x.outlivesCaller() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.incoming.Context()), cancelTimeout)
 	defer cancel()
-	if err := x.handler.options.Upstream.Cancel(ctx, x.engine, x.view.urls[x.engine], x.id); err != nil {
+	if err := x.handler.options.Upstream.Cancel(ctx, x.engine, x.view.urls[x.engine], x.attemptID()); err != nil {
 		x.handler.options.Logger.Debug().Str("request", x.id).Str("engine", x.engine).Err(err).Msg("cancel failed")
 	}
 }
