--- /dev/null
+++ b/internal/control/benchmark_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+)
+
+// Measures the size of a version on the way to one subscriber at the design size, and the time
+// to compress and to decode it.
+func BenchmarkPayload(b *testing.B) {
+	d := document(600, 280)
+	b.Run("encode", func(b *testing.B) {
+		size := 0
+		for b.Loop() {
+			payload, err := encodePayload(1, d)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(payload)
+		}
+		b.ReportMetric(float64(size), "bytes")
+	})
+	payload, err := encodePayload(1, d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("decode", func(b *testing.B) {
+		for b.Loop() {
+			if _, _, err := decodePayload(payload); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// Measures one change of a label at the design size from the submission until it is in force at
+// all instances of one process, with 3 replicas of 9 instances and 7 replicas of 407.
+func BenchmarkChange(b *testing.B) {
+	for _, size := range []struct{ replicas, subscribers int }{{3, 6}, {7, 400}} {
+		b.Run(fmt.Sprintf("%d+%d", size.replicas, size.subscribers), func(b *testing.B) {
+			net := newNet()
+			defer net.stopAll()
+			populate(b, net, size.replicas, size.subscribers)
+			entry := net.nodes["r-0"].control
+			net.bytes.Store(0)
+			net.messages.Store(0)
+			began := time.Now()
+			changes := 0
+			for b.Loop() {
+				changes++
+				edit := configuration.Edit{Drain: &configuration.DrainEdit{Engine: "engine-300", On: changes%2 == 1}}
+				change := configuration.Change{ID: fmt.Sprintf("id-%d", changes), Base: configuration.Version(changes), Edit: edit}
+				if answer, err := entry.Submit(context.Background(), change); err != nil || answer.Outcome != OutcomeAccepted {
+					b.Fatal(answer, err)
+				}
+			}
+			elapsed := time.Since(began)
+			all := float64(size.replicas + size.subscribers)
+			b.ReportMetric(float64(net.bytes.Load())/float64(changes)/all, "bytes/instance/change")
+			b.ReportMetric(float64(net.messages.Load())/float64(changes)/all, "messages/instance/change")
+			b.ReportMetric(elapsed.Seconds()*1e3/float64(changes)/all, "ms/instance/change")
+		})
+	}
+}
+
+// Measures what an idle instance and its replica exchange.
+func BenchmarkIdle(b *testing.B) {
+	net := newNet()
+	defer net.stopAll()
+	populate(b, net, 7, 400)
+	for b.Loop() {
+		before := net.bytes.Load()
+		time.Sleep(10 * time.Second)
+		b.ReportMetric(float64(net.bytes.Load()-before)/10/407, "bytes/s/instance")
+	}
+}
+
+func populate(b *testing.B, net *fakeNet, replicas, subscribers int) {
+	var peers []Peer
+	for i := range replicas {
+		peers = append(peers, Peer{Name: fmt.Sprintf("r-%d", i), DataCentre: fmt.Sprintf("centre-%d", i%5)})
+	}
+	for _, peer := range peers {
+		net.start(b, peers, peer.Name, peer.DataCentre, "", nil)
+	}
+	for i := range subscribers {
+		net.start(b, peers, fmt.Sprintf("i-%d", i), fmt.Sprintf("centre-%d", i%5), "", nil)
+	}
+	first := configuration.Change{ID: "first", Edit: configuration.Edit{Apply: document(600, 280)}}
+	if answer, err := net.nodes["r-0"].control.Submit(context.Background(), first); err != nil || answer.Outcome != OutcomeAccepted {
+		b.Fatal(answer, err)
+	}
+	for _, node := range net.nodes {
+		for node.control.subscriber.state().Replica == "" {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
