internal/operator: HTTP interface and client for operators

Cause: operators had no way to read or change the configuration.

Change: a handler with its own bearer token, compared by hash in constant time, serves configuration, changes, edits of engines, status, dump and metrics; the probes need no token. Refusals are problem documents with stable types; bodies are bounded and unknown fields refused. A drain request without "on" is refused: the default would have ended a drain by omission. The client tells requests that were not sent from those whose answer was lost. control.Control gains Current and Unreachable.

Conclusion: the golden session in testdata fixes the interface.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -167,6 +167,20 @@
 // Version returns the version in force at this instance; 0 means none, and then the instance is not ready.
 func (c *Control) Version() configuration.Version { return c.subscriber.version() }
 
+// Current returns the version in force at this instance and its document, which must not be changed.
+func (c *Control) Current() (configuration.Version, *configuration.Document) {
+	return c.subscriber.inForce()
+}
+
+// Unreachable returns since when no control replica with a leader is reachable; ok is false when one is.
+func (c *Control) Unreachable() (since time.Time, ok bool) {
+	state := c.subscriber.state()
+	if state.UnreachableSince == nil {
+		return time.Time{}, false
+	}
+	return *state.UnreachableSince, true
+}
+
 // State returns the state of the duties for a dump, by duty.
 func (c *Control) State() map[string]any {
 	state := map[string]any{"control.subscriber": c.subscriber.state()}
--- /dev/null
+++ b/internal/operator/handler_test.go
@@ -0,0 +1,240 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/control"
+	"github.com/primrosebeam/primrosebeam/internal/operator"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const token = "operators-secret"
+
+// fakeControl is one store that answers as if it were in force everywhere.
+type fakeControl struct {
+	store   *configuration.Store
+	missing []string
+	err     error
+	lost    bool // every outcome is undetermined
+}
+
+func newControl() *fakeControl {
+	return &fakeControl{store: configuration.NewStore(configuration.StoreOptions{})}
+}
+
+func (c *fakeControl) Submit(_ context.Context, change configuration.Change) (control.Answer, error) {
+	if c.err != nil {
+		return control.Answer{}, c.err
+	}
+	data, err := configuration.EncodeChange(change)
+	if err != nil {
+		return control.Answer{}, err
+	}
+	switch applied := c.store.Apply(0, data).(type) {
+	case configuration.Result:
+		return c.answer(change.ID, applied), nil
+	case error:
+		return control.Answer{}, applied
+	}
+	return control.Answer{}, nil
+}
+
+func (c *fakeControl) answer(id string, result configuration.Result) control.Answer {
+	answer := control.Answer{ChangeID: id, Version: result.Version, Faults: result.Faults}
+	answer.Outcome = map[configuration.Status]control.Outcome{
+		configuration.StatusAccepted: control.OutcomeAccepted,
+		configuration.StatusConflict: control.OutcomeConflict,
+		configuration.StatusInvalid:  control.OutcomeInvalid,
+	}[result.Status]
+	if answer.Outcome == control.OutcomeAccepted && len(c.missing) > 0 {
+		answer.Outcome = control.OutcomeCommitted
+		answer.MissingIn = c.missing
+	}
+	if c.lost {
+		return control.Answer{ChangeID: id, Outcome: control.OutcomeUndetermined}
+	}
+	return answer
+}
+
+func (c *fakeControl) Outcome(_ context.Context, id string) (control.Answer, error) {
+	result, known := c.store.Lookup(id)
+	if !known {
+		return control.Answer{}, &control.UnknownChangeError{ChangeID: id}
+	}
+	return c.answer(id, result), nil
+}
+
+func (c *fakeControl) Status(context.Context) (control.Status, error) {
+	version, _ := c.store.Current()
+	instance := control.InstanceStatus{Name: "b1", DataCentre: "bern", Live: true, Version: version, Subscribed: true}
+	return control.Status{
+		Replica: "b1", Leader: "b1", Version: version, Instances: []control.InstanceStatus{instance},
+		NotInForce: []string{"olten"}, Unreachable: []string{"olten"},
+	}, nil
+}
+
+func (c *fakeControl) Current() (configuration.Version, *configuration.Document) {
+	return c.store.Current()
+}
+
+func (c *fakeControl) Unreachable() (time.Time, bool) {
+	return time.Unix(1e9, 0).UTC(), len(c.missing) > 0
+}
+
+func newHandler(t *testing.T, c operator.Control) *operator.Handler {
+	t.Helper()
+	h, err := operator.New(operator.Options{
+		Instance: "b1", DataCentre: "bern", Token: token, Control: c,
+		Ready: func() (bool, string) {
+			version, _ := c.Current()
+			return version > 0, "no configuration yet"
+		},
+		Dump: map[string]func() any{
+			"scheduler": func() any { return map[string]int{"waiting": 3} },
+			"broken":    func() any { return func() {} },
+		},
+		WriteMetrics: func(w io.Writer) { fmt.Fprintln(w, "primrosebeam_up 1") },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+const small = `{
+  "tiers": [{"name": "urgent", "queueLimit": 10}],
+  "workspaces": [],
+  "services": [{"name": "orders", "kind": "plain", "engines": "app=orders", "routes": [{"path": "/"}]}],
+  "engines": [{"name": "o1", "url": "http://127.0.0.1:9001", "dataCentre": "bern", "labels": {"app": "orders"}}]
+}`
+
+type step struct{ method, path, body string }
+
+var stamp = regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`)
+
+func play(w io.Writer, h http.Handler, steps []step) {
+	for _, s := range steps {
+		r := httptest.NewRequest(s.method, s.path, strings.NewReader(s.body))
+		r.Header.Set("Authorization", "Bearer "+token)
+		response := httptest.NewRecorder()
+		h.ServeHTTP(response, r)
+		body := stamp.ReplaceAllString(response.Body.String(), "TIME")
+		fmt.Fprintf(w, "%s %s\n%s\n%d %s\n%s\n", s.method, s.path, s.body, response.Code, response.Header().Get("Content-Type"), body)
+	}
+}
+
+// Guards against a change of the interface that operators' scripts would notice.
+func TestSession(t *testing.T) {
+	is := is.New(t)
+	c := newControl()
+	h := newHandler(t, c)
+	var got bytes.Buffer
+	play(&got, h, []step{
+		{"GET", "/healthz", ""},
+		{"GET", "/readyz", ""},
+		{"GET", "/v1/configuration", ""},
+		{"POST", "/v1/changes", `{"changeID": "a", "base": 0, "edit": {"apply": ` + small + `}}`},
+		{"GET", "/readyz", ""},
+		{"GET", "/v1/configuration", ""},
+		{"POST", "/v1/changes", `{"changeID": "a", "base": 0, "edit": {"apply": ` + small + `}}`},
+		{"POST", "/v1/changes", `{"changeID": "a", "base": 1, "edit": {"apply": ` + small + `}}`},
+		{"POST", "/v1/engines/o1/labels", `{"changeID": "b", "base": 0, "set": {"hardware": "new"}}`},
+		{"POST", "/v1/engines/o1/labels", `{"changeID": "c", "base": 1, "set": {"hardware": "new"}}`},
+		{"POST", "/v1/engines/o1/labels", `{"changeID": "d", "base": 2, "remove": ["app"]}`},
+		{"POST", "/v1/engines/o9/drain", `{"changeID": "e", "base": 2, "on": true}`},
+		{"POST", "/v1/engines/o1/drain", "{\"changeID\": \"f\",\n\"base\": 2, \"of\": true}"},
+		{"POST", "/v1/engines/o1/drain", `{"base": 2, "on": true}`},
+		{"POST", "/v1/engines/o1/drain", `{"changeID": "f", "base": 2}`},
+		{"POST", "/v1/changes", "{\"changeID\": \"g\", \"base\": 2,\n\"edit\": {\"apply\": {\n\"tiers\": [],\n\"workspaces\": [], \"services\": [], \"engines\": []}}}"},
+		{"GET", "/v1/changes/c", ""},
+		{"GET", "/v1/changes/never", ""},
+		{"GET", "/v1/dump", ""},
+		{"GET", "/metrics", ""},
+		{"GET", "/v1/nothing", ""},
+		{"DELETE", "/v1/configuration", ""},
+	})
+	c.missing = []string{"olten"}
+	play(&got, h, []step{
+		{"POST", "/v1/engines/o1/drain", `{"changeID": "h", "base": 2, "on": true}`},
+		{"GET", "/v1/status", ""},
+	})
+	c.lost = true
+	play(&got, h, []step{
+		{"POST", "/v1/engines/o1/drain", `{"changeID": "i", "base": 3, "on": false}`},
+		{"GET", "/v1/changes/i", ""},
+	})
+	c.err = &control.NotSubmittedError{ChangeID: "j"}
+	play(&got, h, []step{{"POST", "/v1/engines/o1/drain", `{"changeID": "j", "base": 4, "on": true}`}})
+	if *update {
+		is.NoErr(os.WriteFile("testdata/session.golden", got.Bytes(), 0o644))
+	}
+	want, err := os.ReadFile("testdata/session.golden")
+	is.NoErr(err)
+	is.Equal(got.String(), string(want))
+}
+
+// Guards against a path that serves without the operators' token, and against probes that need it.
+func TestTokenIsRequired(t *testing.T) {
+	h := newHandler(t, newControl())
+	paths := map[string]int{
+		"/healthz": 200, "/readyz": 503, "/metrics": 401, "/v1/configuration": 401, "/v1/changes": 401,
+		"/v1/changes/a": 401, "/v1/engines/o1/labels": 401, "/v1/engines/o1/drain": 401, "/v1/status": 401, "/v1/dump": 401,
+	}
+	for path, want := range paths {
+		for _, header := range []string{"", "Bearer", "Bearer ", "Bearer wrong", "Basic " + token, token} {
+			for _, method := range []string{"GET", "POST"} {
+				is := is.New(t)
+				r := httptest.NewRequest(method, path, strings.NewReader("{}"))
+				r.Header.Set("Authorization", header)
+				response := httptest.NewRecorder()
+				h.ServeHTTP(response, r)
+				if want == 401 || method == "GET" {
+					is.Equal(response.Code, want)
+				}
+			}
+		}
+	}
+}
+
+// Guards against bodies without bound and media types that a form of another site could send.
+func TestBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(newHandler(t, newControl()))
+	defer server.Close()
+	post := func(path, mediaType string, size int) int {
+		r, err := http.NewRequest("POST", server.URL+path, strings.NewReader(`"`+strings.Repeat("a", size)+`"`))
+		is.NoErr(err)
+		r.Header.Set("Authorization", "Bearer "+token)
+		r.Header.Set("Content-Type", mediaType)
+		response, err := server.Client().Do(r)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	is.Equal(post("/v1/changes", "application/json", operator.MaxChangeBody), http.StatusRequestEntityTooLarge)
+	is.Equal(post("/v1/engines/o1/drain", "application/json", operator.MaxEditBody), http.StatusRequestEntityTooLarge)
+	is.Equal(post("/v1/engines/o1/drain", "text/plain", 1), http.StatusUnsupportedMediaType)
+	is.Equal(post("/v1/engines/o1/drain", "application/json; charset=utf-8", 1), http.StatusUnprocessableEntity)
+}
+
+// Guards against a handler without a token, which would serve everybody.
+func TestTokenOptionIsRequired(t *testing.T) {
+	is := is.New(t)
+	_, err := operator.New(operator.Options{Control: newControl(), Ready: func() (bool, string) { return true, "" }})
+	is.True(err != nil)
+}
