internal/command: operators' subcommands and check

Cause: the binary had the version subcommand only.

Change: get, apply, label, drain, status, dump and check.

--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/strictjson"
+)
+
+// checkers validate a file by the flag that names it. An error that is a *strictjson.FaultsError
+// is printed fault by fault.
+var checkers = map[string]func(data []byte) error{
+	"configuration": checkConfiguration,
+}
+
+// maxFileBytes bounds the files that are read; it exceeds what any of them may have, so that the
+// checker reports the size itself.
+const maxFileBytes = 2 * configuration.MaxDocumentBytes
+
+func checkConfiguration(data []byte) error {
+	_, err := configuration.Parse(data)
+	return err
+}
+
+func runCheck(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("check", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	paths := map[string]*string{}
+	for _, name := range slices.Sorted(maps.Keys(checkers)) {
+		paths[name] = flags.String(name, "", name+" `file` to check")
+	}
+	if flags.Parse(args) != nil {
+		return ExitUsage
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(stderr, "primrosebeam check: unexpected argument %q\n", flags.Arg(0))
+		return ExitUsage
+	}
+	checked := 0
+	code := ExitDone
+	for _, name := range slices.Sorted(maps.Keys(paths)) {
+		if path := *paths[name]; path != "" {
+			checked++
+			code = max(code, checkFile(path, checkers[name], stdout, stderr))
+		}
+	}
+	if checked == 0 {
+		fmt.Fprintln(stderr, "primrosebeam check: name a file to check")
+		flags.Usage()
+		return ExitUsage
+	}
+	return code
+}
+
+func checkFile(path string, check func([]byte) error, stdout, stderr io.Writer) int {
+	data, err := readFile(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "primrosebeam check:", err)
+		return ExitFailed
+	}
+	if err := check(data); err != nil {
+		printFaults(stdout, path, err)
+		return ExitUsage
+	}
+	fmt.Fprintf(stdout, "%s: no faults\n", path)
+	return ExitDone
+}
+
+// printFaults prints one line for each fault, as compilers do.
+func printFaults(w io.Writer, path string, err error) {
+	var faults *strictjson.FaultsError
+	if !errors.As(err, &faults) {
+		fmt.Fprintf(w, "%s: %v\n", path, err)
+		return
+	}
+	for _, fault := range faults.Faults {
+		fmt.Fprintf(w, "%s:%d: %s\n", path, fault.Line, describe(fault))
+	}
+}
+
+func describe(fault strictjson.Fault) string {
+	text := string(fault.Reason)
+	if fault.Field != "" {
+		text = fault.Field + ": " + text
+	}
+	if fault.Detail != "" {
+		text += ": " + fault.Detail
+	}
+	return text
+}
+
+// readFile reads a bounded file.
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read file: %w", err)
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read file: %w", err)
+	}
+	return data, nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 )
 
 // Exit codes of the binary.
@@ -23,6 +25,13 @@
 }
 
 var subcommands = map[string]subcommand{
+	"apply":   {"replaces the configuration by a file", runApply},
+	"check":   {"validates a file and prints every fault", runCheck},
+	"drain":   {"starts or ends the draining of an engine", runDrain},
+	"dump":    {"prints the state of every duty of an instance", runDump},
+	"get":     {"prints the configuration", runGet},
+	"label":   {"edits the labels of an engine", runLabel},
+	"status":  {"prints the status of the instances, or of a change", runStatus},
 	"version": {"prints the version", runVersion},
 }
 
@@ -43,8 +52,8 @@
 
 func usage(w io.Writer) {
 	fmt.Fprintln(w, "usage: primrosebeam COMMAND [flags]")
-	for name, c := range subcommands {
-		fmt.Fprintf(w, "  %-10s %s\n", name, c.summary)
+	for _, name := range slices.Sorted(maps.Keys(subcommands)) {
+		fmt.Fprintf(w, "  %-10s %s\n", name, subcommands[name].summary)
 	}
 }
 
