consensus: let a learner without a leader campaign

Change: a learner campaigns after four election timeouts without a leader, does not count itself, and steps down when its entries are committed.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -24,11 +24,23 @@
 	}
 }
 
-// mayCampaign reports whether this replica is a voter. One whose removal is in its log but not known
-// to be committed still campaigns, without counting itself: it may hold the longest log, which makes
-// it refuse its vote to all others, while they still need its vote.
+// learnerPatience is how many election timeouts a learner waits for a leader before it campaigns.
+const learnerPatience = 4
+
+// mayCampaign reports whether this replica asks for votes. Besides voters there are two, who do not
+// count themselves. Both may hold the longest log, so that they refuse their vote to all others
+// while it is needed:
+//
+//   - one whose removal is in its log but not known to be committed;
+//   - a learner without a leader for long, as the entry that promotes it may be in other logs.
+//
+// Neither can do harm: whoever is elected has the votes of a quorum of voters, and a pre-vote
+// disturbs no leader.
 func (n *Node) mayCampaign() bool {
 	placed := n.log.configuration()
+	if placed.configuration.IsLearner(n.self) {
+		return n.contactElapsed >= learnerPatience*n.options.ElectionTicks
+	}
 	return placed.configuration.IsVoter(n.self) ||
 		placed.index > n.log.commit && n.log.configurationAt(n.log.commit).IsVoter(n.self)
 }
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -137,11 +137,13 @@
 	return silent
 }
 
-// leaveWhenRemoved ends the leadership of a leader whose removal is committed. Until then it leads
-// on without counting itself, as its entry still needs a quorum of the others.
+// leaveWhenRemoved ends the leadership of one that is no voter, once an entry of its term and its
+// configuration are committed. Until then it leads on without counting itself, as its entries still
+// need a quorum of the voters; afterwards a voter holds them and can be elected.
 func (n *Node) leaveWhenRemoved() {
 	placed := n.log.configuration()
-	if n.role == Leader && !placed.configuration.IsVoter(n.self) && n.log.commit >= placed.index {
+	settled := n.log.commit >= placed.index && n.committedOwnTerm()
+	if n.role == Leader && !placed.configuration.IsVoter(n.self) && settled {
 		n.StepDown()
 	}
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -145,12 +145,13 @@
 	if n.electionElapsed < n.electionTimeout {
 		return
 	}
+	n.resetElection()
+	if !n.log.configuration().configuration.IsVoter(n.self) {
+		n.askToJoin()
+	}
 	if n.mayCampaign() {
 		n.campaign(PreCandidate)
-		return
 	}
-	n.resetElection()
-	n.askToJoin()
 }
 
 // Propose appends a command to the leader's log; it is at LastIndex then. It returns
--- a/consensus/schedule_test.go
+++ b/consensus/schedule_test.go
@@ -237,16 +237,31 @@
 		s.fail("no progress after healing: %s", s.describe())
 		return
 	}
-	leader := s.leader()
-	s.propose(leader, "last")
-	for range 2 * testElectionTicks {
+	s.propose(s.leader(), "last")
+	for range 100 * testElectionTicks {
 		s.tickAll()
+		if s.failure != "" || s.agreed() {
+			break
+		}
+	}
+	if s.failure == "" && !s.agreed() {
+		s.fail("a voter lacks committed entries: %s", s.describe())
+	}
+}
+
+// agreed reports whether every voter applied everything that is committed. The leader may have
+// changed once more: one whose removal was committed last steps down.
+func (s *schedule) agreed() bool {
+	leader := s.leader()
+	if leader == nil || leader.node.Commit() < s.highest {
+		return false
 	}
 	for _, id := range leader.node.Configuration().Voters {
-		if h := s.hosts[id.Instance]; h.node.log.applied != leader.node.log.applied {
-			s.fail("%s applied %d of %d entries: %s", id, h.node.log.applied, leader.node.log.applied, s.describe())
+		if s.hosts[id.Instance].node.log.applied != leader.node.log.applied {
+			return false
 		}
 	}
+	return true
 }
 
 func (s *schedule) healed() bool {
