Look ahead in a flow for a request whose prefix the open engine has

Cause: in a backlog engines open one at a time, and the first request in the queue is computed from scratch on whichever one that is. Recomputation then keeps the backlog alive. Change: among the first 16 requests of the flow in turn the one with most of its prompt cached on an open engine goes first; a request is passed over at most 16 times.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -56,7 +56,7 @@
 	if list == nil {
 		return false
 	}
-	e := list.first
+	e := s.lookAhead(sv, list)
 	m := s.choose(now, sv, e)
 	if m == nil {
 		return false
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -34,6 +34,7 @@
 	abandoned  bool
 	refusedBy  [maximumRefusals]*server
 	refusals   int
+	bypassed   int // requests behind it that were dispatched first for the sake of their prefix
 
 	prev, next *entry
 }
