Check settings files and prepare cuts between processes

Cause: check knew configurations only, and tests had no way to cut links. Change: check -settings; a small forwarder for each direction between two instances.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -132,8 +132,12 @@
 	folder  string
 	members []*member
 	engines []*engine
+	links   map[linkName]*forwarder // between instances
 }
 
+// linkName is the direction in which one instance dials another.
+type linkName struct{ from, to string }
+
 const (
 	operatorToken = "operator-token-of-the-tests"
 	smallToken    = "token-small"
@@ -171,6 +175,14 @@
 		}
 		c.members = append(c.members, m)
 	}
+	c.links = map[linkName]*forwarder{}
+	for _, from := range c.members {
+		for _, to := range c.members {
+			if from != to {
+				c.links[linkName{from.name, to.name}] = startForwarder(t, to.instances)
+			}
+		}
+	}
 	c.writeFile("operator.token", operatorToken)
 	c.writeFile("shared.key", "shared-key-of-the-tests")
 	c.writeFile("configuration.jsonc", c.configuration())
@@ -253,7 +265,7 @@
 	for _, other := range c.members {
 		if other != m {
 			peers = append(peers, map[string]any{
-				"name": other.name, "dataCentre": other.centre, "address": other.instances, "roles": other.roles,
+				"name": other.name, "dataCentre": other.centre, "address": c.links[linkName{m.name, other.name}].address(), "roles": other.roles,
 			})
 		}
 	}
@@ -320,6 +332,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// cutOff separates the members of a data centre from all others, or joins them again.
+func (c *cluster) cutOff(centre string, cut bool) {
+	byName := map[string]string{}
+	for _, m := range c.members {
+		byName[m.name] = m.centre
+	}
+	for name, f := range c.links {
+		if (byName[name.from] == centre) != (byName[name.to] == centre) {
+			f.setCut(cut)
+		}
+	}
+}
+
 // steer sends a control request to a stand-in.
 func (e *engine) steer(path string, body any) {
 	e.t.Helper()
--- /dev/null
+++ b/e2e/forwarder_test.go
@@ -0,0 +1,107 @@
+package e2e
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// forwarder passes TCP connections on to an address until it is cut. A cut is silent: connections
+// stay open and nothing arrives any more.
+type forwarder struct {
+	listener net.Listener
+	target   string
+
+	mu          sync.Mutex
+	cut         bool
+	connections []net.Conn
+}
+
+func startForwarder(t *testing.T, target string) *forwarder {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &forwarder{listener: listener, target: target}
+	t.Cleanup(func() {
+		listener.Close()
+		f.closeAll()
+	})
+	go f.accept()
+	return f
+}
+
+func (f *forwarder) address() string { return f.listener.Addr().String() }
+
+func (f *forwarder) accept() {
+	for {
+		incoming, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.connections = append(f.connections, incoming)
+		cut := f.cut
+		f.mu.Unlock()
+		if cut {
+			continue
+		}
+		outgoing, err := net.Dial("tcp", f.target)
+		if err != nil {
+			incoming.Close()
+			continue
+		}
+		f.mu.Lock()
+		f.connections = append(f.connections, outgoing)
+		f.mu.Unlock()
+		go f.copy(incoming, outgoing)
+		go f.copy(outgoing, incoming)
+	}
+}
+
+// copy passes bytes on; bytes that arrive during a cut are lost.
+func (f *forwarder) copy(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		f.mu.Lock()
+		cut := f.cut
+		f.mu.Unlock()
+		if cut {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				from.Close()
+				return
+			}
+		}
+		if err != nil {
+			to.Close()
+			return
+		}
+	}
+}
+
+// setCut starts or ends a cut. At its end the connections of before are closed, as a network does
+// that has forgotten them.
+func (f *forwarder) setCut(cut bool) {
+	f.mu.Lock()
+	f.cut = cut
+	f.mu.Unlock()
+	if !cut {
+		f.closeAll()
+	}
+}
+
+func (f *forwarder) closeAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, connection := range f.connections {
+		connection.Close()
+	}
+	f.connections = nil
+}
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/settings"
 	"github.com/primrosebeam/primrosebeam/strictjson"
 )
 
@@ -17,6 +18,7 @@
 // is printed fault by fault.
 var checkers = map[string]func(data []byte) error{
 	"configuration": checkConfiguration,
+	"settings":      checkSettings,
 }
 
 // maxFileBytes bounds the files that are read; it exceeds what any of them may have, so that the
@@ -28,6 +30,11 @@
 	return err
 }
 
+func checkSettings(data []byte) error {
+	_, err := settings.Parse(data)
+	return err
+}
+
 func runCheck(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	flags.SetOutput(stderr)
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -17,7 +16,6 @@
 	"github.com/primrosebeam/primrosebeam/configuration"
 	"github.com/primrosebeam/primrosebeam/instance"
 	"github.com/primrosebeam/primrosebeam/internal/settings"
-	"github.com/primrosebeam/primrosebeam/strictjson"
 )
 
 func init() {
@@ -34,11 +32,13 @@
 	}
 	s, err := settings.Load(*path)
 	if err != nil {
-		return reportFaults(stderr, *path, err)
+		printFaults(stderr, *path, err)
+		return ExitUsage
 	}
 	options, err := instanceOptions(s, stderr)
 	if err != nil {
-		return reportFaults(stderr, *path, err)
+		printFaults(stderr, *path, err)
+		return ExitUsage
 	}
 	if err := runInstance(options, s); err != nil {
 		options.Logger.Error().Err(err).Msg("instance failed")
@@ -127,8 +127,10 @@
 	if err != nil {
 		return fmt.Errorf("command: initial configuration: %w", err)
 	}
-	options.Configuration, err = configuration.Parse(data)
-	return err
+	if options.Configuration, err = configuration.Parse(data); err != nil {
+		return fmt.Errorf("command: initial configuration %s:\n%w", s.InitialConfiguration, err)
+	}
+	return nil
 }
 
 // minSecretBytes keeps a truncated or empty file from serving as a secret.
@@ -152,16 +154,3 @@
 	}
 	return secret, nil
 }
-
-// reportFaults prints every fault of a file, or the error that kept it from being read.
-func reportFaults(w io.Writer, path string, err error) int {
-	var faults *strictjson.FaultsError
-	if !errors.As(err, &faults) {
-		fmt.Fprintf(w, "%s: %v\n", path, err)
-		return ExitUsage
-	}
-	for _, fault := range faults.Faults {
-		fmt.Fprintf(w, "%s: %s\n", path, fault)
-	}
-	return ExitUsage
-}
