claims: owner duty, identity files, link handlers and client

Change: package internal/claims. The client picks an owner for minting and routes every other call by the key.

--- /dev/null
+++ b/internal/claims/call.go
@@ -0,0 +1,184 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/ledger"
+	"github.com/primrosebeam/primrosebeam/ring"
+)
+
+// operation numbers the methods of ledger.Claimer.
+type operation int
+
+const (
+	opMint operation = iota
+	opClaim
+	opBegin
+	opRelease
+	opComplete
+	opLookup
+	operations
+)
+
+var operationNames = [operations]string{"mint", "claim", "begin", "release", "complete", "lookup"}
+
+// needsSync reports whether a nil error promises that something is durable. It holds also when the call gave no
+// record, because a repeated message may follow its original within one batch.
+func (o operation) needsSync() bool { return o == opBegin || o == opComplete }
+
+// call is one request on its way through the duty.
+type call struct {
+	operation operation
+	run       func(l *ledger.Ledger, now time.Time) (record []byte, err error)
+	done      chan error // capacity 1, so that the duty never waits for a caller that has gone
+	queued    time.Time
+
+	err      error
+	recorded bool
+}
+
+// submit hands a call to the duty and waits for its result.
+func (o *Owner) submit(ctx context.Context, op operation, run func(*ledger.Ledger, time.Time) ([]byte, error)) error {
+	c := &call{operation: op, run: run, done: make(chan error, 1), queued: time.Now()}
+	if err := o.calls.Offer(c); err != nil {
+		var full *ring.FullError
+		if errors.As(err, &full) {
+			return &BusyError{Owner: o.options.Name}
+		}
+		return &ClosedError{Owner: o.options.Name}
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return &UnreachableError{Owner: o.options.Name, MayHaveArrived: true, Err: ctx.Err()}
+	}
+}
+
+// process runs a batch with one sync for all of its records. Look-ups come after it, so that they see outcomes of
+// the same batch as synced.
+func (o *Owner) process(batch []*call) {
+	now := o.clock.now()
+	o.runSynced(batch, now, func(c *call) bool { return c.operation != opLookup })
+	o.runSynced(batch, now, func(c *call) bool { return c.operation == opLookup })
+	o.snapshot()
+}
+
+func (o *Owner) runSynced(batch []*call, now time.Time, selected func(*call) bool) {
+	records := 0
+	for _, c := range batch {
+		if !selected(c) {
+			continue
+		}
+		var record []byte
+		record, c.err = c.run(o.ledger, now)
+		if record != nil {
+			c.recorded = true
+			records++
+			o.append(record)
+		}
+	}
+	o.sync(records)
+	for _, c := range batch {
+		if selected(c) {
+			o.finish(c)
+		}
+	}
+}
+
+func (o *Owner) append(record []byte) {
+	if o.failure != nil {
+		return
+	}
+	if _, err := o.journal.Append(record); err != nil {
+		o.fail(err)
+		return
+	}
+	o.grown += int64(len(record))
+}
+
+func (o *Owner) sync(records int) {
+	if records == 0 || o.failure != nil {
+		return
+	}
+	start := time.Now()
+	if err := o.journal.Sync(); err != nil {
+		o.fail(err)
+		return
+	}
+	o.ledger.Commit()
+	o.meters.syncSeconds.UpdateDuration(start)
+	o.meters.syncRecords.Update(float64(records))
+}
+
+// finish answers a call. Whatever relied on a record that is not synced becomes *ledger.UnavailableError.
+func (o *Owner) finish(c *call) {
+	relies := c.recorded || (c.operation.needsSync() && c.err == nil)
+	if o.failure != nil && relies {
+		c.err = &ledger.UnavailableError{Err: o.failure}
+	}
+	o.meters.count(c)
+	c.done <- c.err
+}
+
+// Mint implements ledger.Claimer.
+func (o *Owner) Mint(ctx context.Context, r ledger.MintRequest) ([]ledger.Key, error) {
+	var keys []ledger.Key
+	err := o.submit(ctx, opMint, func(l *ledger.Ledger, now time.Time) (_ []byte, err error) {
+		keys, err = l.Mint(now, r, o.options.Random)
+		return nil, err
+	})
+	if err != nil {
+		return nil, err // keys may still be written by the duty when ctx has ended.
+	}
+	return keys, nil
+}
+
+// Claim implements ledger.Claimer.
+func (o *Owner) Claim(ctx context.Context, r ledger.ClaimRequest) (ledger.Grant, error) {
+	var grant ledger.Grant
+	err := o.submit(ctx, opClaim, func(l *ledger.Ledger, now time.Time) (record []byte, err error) {
+		grant, record, err = l.Claim(now, r)
+		return record, err
+	})
+	if err != nil {
+		return ledger.Grant{}, err
+	}
+	return grant, nil
+}
+
+// Begin implements ledger.Claimer.
+func (o *Owner) Begin(ctx context.Context, r ledger.BeginRequest) error {
+	return o.submit(ctx, opBegin, func(l *ledger.Ledger, now time.Time) ([]byte, error) {
+		return l.Begin(now, r)
+	})
+}
+
+// Release implements ledger.Claimer.
+func (o *Owner) Release(ctx context.Context, r ledger.ReleaseRequest) error {
+	return o.submit(ctx, opRelease, func(l *ledger.Ledger, now time.Time) ([]byte, error) {
+		return nil, l.Release(now, r)
+	})
+}
+
+// Complete implements ledger.Claimer.
+func (o *Owner) Complete(ctx context.Context, r ledger.CompleteRequest) error {
+	return o.submit(ctx, opComplete, func(l *ledger.Ledger, now time.Time) ([]byte, error) {
+		return l.Complete(now, r)
+	})
+}
+
+// Lookup implements ledger.Claimer.
+func (o *Owner) Lookup(ctx context.Context, r ledger.LookupRequest) (ledger.Status, error) {
+	var status ledger.Status
+	err := o.submit(ctx, opLookup, func(l *ledger.Ledger, now time.Time) (record []byte, err error) {
+		status, record, err = l.Lookup(now, r)
+		return record, err
+	})
+	if err != nil {
+		return ledger.Status{}, err
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/claims/client.go
@@ -0,0 +1,214 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/ledger"
+)
+
+const (
+	// DefaultCallTimeout is far above a sync and a round trip between data centres, and short beside the deadlines
+	// of callers.
+	DefaultCallTimeout = 2 * time.Second
+	// mintTimeout leaves time to try another owner before a caller gives up.
+	mintTimeout = 500 * time.Millisecond
+	// avoidFor is how long an owner that did not answer is tried last for minting.
+	avoidFor = 2 * time.Second
+)
+
+// OwnerInfo names a ledger owner.
+type OwnerInfo struct {
+	Name       string
+	DataCentre string
+}
+
+// ClientOptions are the parameters of NewClient.
+type ClientOptions struct {
+	Name          string             // of this instance; the holder of its claims
+	DataCentre    string             // of this instance
+	Caller        link.Caller        // to the other instances
+	Owners        func() []OwnerInfo // those believed to be reachable; used for minting only
+	Local         ledger.Claimer     // the owner in this process, or nil
+	CallTimeout   time.Duration      // of one message; 0 means DefaultCallTimeout
+	ResponseBytes int                // longer answers are sent without header and body; 0 means the ledger's default
+	Random        *rand.Rand         // spreads minting; nil means a random seed
+	Now           func() time.Time   // nil means time.Now
+	Metrics       *metrics.Set       // nil means metrics that nobody reads
+}
+
+// Client is a ledger.Claimer that routes to the owner of each key. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+
+	mu      sync.Mutex // guards the fields below and options.Random
+	avoided map[string]time.Time
+}
+
+var _, _ ledger.Claimer = (*Client)(nil), (*Owner)(nil)
+
+// NewClient returns a client.
+func NewClient(o ClientOptions) *Client {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.ResponseBytes == 0 {
+		o.ResponseBytes = ledger.DefaultResponseBytes
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return &Client{options: o, avoided: map[string]time.Time{}}
+}
+
+// Mint tries the owners one after the other, those of the own data centre first. Trying another one is safe, because
+// minting has no effect. It returns *NoOwnerError or *ledger.InvalidRequestError.
+func (c *Client) Mint(ctx context.Context, r ledger.MintRequest) ([]ledger.Key, error) {
+	var last error
+	for _, owner := range c.mintOrder() {
+		keys, err := c.mintAt(ctx, owner, r)
+		if err == nil {
+			return keys, nil
+		}
+		var invalid *ledger.InvalidRequestError
+		if errors.As(err, &invalid) {
+			return nil, err
+		}
+		last = err
+		c.avoid(owner)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, &NoOwnerError{Err: last}
+}
+
+func (c *Client) mintAt(ctx context.Context, owner string, r ledger.MintRequest) ([]ledger.Key, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(mintTimeout, c.options.CallTimeout))
+	defer cancel()
+	if c.isLocal(owner) {
+		return c.options.Local.Mint(ctx, r)
+	}
+	var reply MintReply
+	if err := c.call(ctx, owner, KindMint, r, &reply, ""); err != nil {
+		return nil, err
+	}
+	return reply.Keys, nil
+}
+
+// mintOrder lists the owners: those that answered lately before the avoided ones, and within these groups the own
+// data centre before the others. The order within a group is random, which spreads the load.
+func (c *Client) mintOrder() []string {
+	owners := slices.Clone(c.options.Owners())
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.options.Random.Shuffle(len(owners), func(i, j int) { owners[i], owners[j] = owners[j], owners[i] })
+	rank := func(o OwnerInfo) int {
+		rank := 0
+		if now.Before(c.avoided[o.Name]) {
+			rank += 2
+		}
+		if o.DataCentre != c.options.DataCentre {
+			rank++
+		}
+		return rank
+	}
+	slices.SortStableFunc(owners, func(a, b OwnerInfo) int { return rank(a) - rank(b) })
+	names := make([]string, len(owners))
+	for i, o := range owners {
+		names[i] = o.Name
+	}
+	return names
+}
+
+func (c *Client) avoid(owner string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[owner] = c.options.Now().Add(avoidFor)
+}
+
+// Claim implements ledger.Claimer.
+func (c *Client) Claim(ctx context.Context, r ledger.ClaimRequest) (grant ledger.Grant, err error) {
+	r.Holder = c.options.Name
+	err = c.route(ctx, r.Key, KindClaim, r, &grant, func(ctx context.Context) (err error) {
+		grant, err = c.options.Local.Claim(ctx, r)
+		return err
+	})
+	return grant, err
+}
+
+// Begin implements ledger.Claimer. After any error the instance must not send a byte of the request, and may tell
+// not-run only when Complete with ledger.OutcomeNotRun succeeds.
+func (c *Client) Begin(ctx context.Context, r ledger.BeginRequest) error {
+	r.Holder = c.options.Name
+	return c.route(ctx, r.Key, KindBegin, r, &Acknowledgement{}, func(ctx context.Context) error {
+		return c.options.Local.Begin(ctx, r)
+	})
+}
+
+// Release implements ledger.Claimer.
+func (c *Client) Release(ctx context.Context, r ledger.ReleaseRequest) error {
+	r.Holder = c.options.Name
+	return c.route(ctx, r.Key, KindRelease, r, &Acknowledgement{}, func(ctx context.Context) error {
+		return c.options.Local.Release(ctx, r)
+	})
+}
+
+// Complete implements ledger.Claimer.
+func (c *Client) Complete(ctx context.Context, r ledger.CompleteRequest) error {
+	r.Holder = c.options.Name
+	r.Response = r.Response.Bounded(c.options.ResponseBytes)
+	return c.route(ctx, r.Key, KindComplete, r, &Acknowledgement{}, func(ctx context.Context) error {
+		return c.options.Local.Complete(ctx, r)
+	})
+}
+
+// Lookup implements ledger.Claimer.
+func (c *Client) Lookup(ctx context.Context, r ledger.LookupRequest) (status ledger.Status, err error) {
+	err = c.route(ctx, r.Key, KindLookup, r, &status, func(ctx context.Context) (err error) {
+		status, err = c.options.Local.Lookup(ctx, r)
+		return err
+	})
+	return status, err
+}
+
+// route sends a request to the owner that the key names, or runs it here when that is the local one.
+func (c *Client) route(ctx context.Context, key ledger.Key, kind link.Kind, request, reply any, local func(context.Context) error) error {
+	parts, err := key.Parse()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if c.isLocal(parts.Owner) {
+		return local(ctx)
+	}
+	return c.call(ctx, parts.Owner, kind, request, reply, key)
+}
+
+func (c *Client) isLocal(owner string) bool {
+	return c.options.Local != nil && owner == c.options.Name
+}
+
+func (c *Client) call(ctx context.Context, owner string, kind link.Kind, request, reply any, key ledger.Key) error {
+	err := c.options.Caller.Call(ctx, owner, kind, request, reply)
+	if err != nil {
+		err = fromLink(err, owner, request, key)
+		c.options.Metrics.GetOrCreateCounter(clientErrorMetric(kind, err)).Inc()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/claims/owner_test.go
@@ -0,0 +1,381 @@
+package claims
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/journal"
+	"github.com/primrosebeam/primrosebeam/journal/faultfs"
+	"github.com/primrosebeam/primrosebeam/ledger"
+)
+
+var background = context.Background()
+
+func options(files journal.FileSystem) Options {
+	return Options{Name: "bern-1", Directory: "/data/ledger", Files: files}
+}
+
+// run opens an owner and serves it until the returned function is called.
+func run(t testing.TB, o Options) (*Owner, func()) {
+	t.Helper()
+	owner, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(background)
+	stopped := make(chan error, 1)
+	go func() { stopped <- owner.Run(ctx) }()
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			cancel()
+			<-stopped // A failure of the journal is the subject of some tests, so the error is not checked here.
+		})
+	}
+	t.Cleanup(stop)
+	return owner, stop
+}
+
+func mint(t testing.TB, c ledger.Claimer, count int) []ledger.Key {
+	t.Helper()
+	keys, err := c.Mint(background, ledger.MintRequest{Workspace: "w", Count: count, Lifetime: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys
+}
+
+func claim(t testing.TB, c ledger.Claimer, key ledger.Key) ledger.Grant {
+	t.Helper()
+	grant, err := c.Claim(background, ledger.ClaimRequest{Key: key, Workspace: "w", Holder: "olten-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return grant
+}
+
+func beginRequest(key ledger.Key, g ledger.Grant) ledger.BeginRequest {
+	return ledger.BeginRequest{Key: key, Workspace: "w", Fence: g.Fence, Holder: "olten-1", Engine: "e", RequestID: "r"}
+}
+
+func answered(key ledger.Key, g ledger.Grant) ledger.CompleteRequest {
+	return ledger.CompleteRequest{
+		Key: key, Workspace: "w", Fence: g.Fence, Holder: "olten-1", Outcome: ledger.OutcomeAnswered,
+		Response: &ledger.Response{Status: 201, Body: []byte("the answer")},
+	}
+}
+
+func lookup(t testing.TB, c ledger.Claimer, key ledger.Key) ledger.Status {
+	t.Helper()
+	s, err := c.Lookup(background, ledger.LookupRequest{Key: key, Workspace: "w"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against outcomes that a restart forgets, and claims that a restart keeps.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	o := Options{Name: "bern-1", Directory: t.TempDir(), SnapshotBytes: 300} // snapshots while it runs
+	owner, stop := run(t, o)
+	_, err := Open(o)
+	var locked *journal.LockedError
+	is.True(errors.As(err, &locked)) // two processes must not share the files
+	keys := mint(t, owner, 10)
+	grants := make([]ledger.Grant, len(keys))
+	for i, key := range keys {
+		grants[i] = claim(t, owner, key)
+		if i < 9 {
+			is.NoErr(owner.Begin(background, beginRequest(key, grants[i])))
+			is.NoErr(owner.Complete(background, answered(key, grants[i])))
+		}
+	}
+	stop()
+	var closed *ClosedError
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[9], grants[9])), &closed))
+	owner, _ = run(t, o)
+	is.Equal(owner.State().Ledger.Epoch, uint64(2))
+	for _, key := range keys[:9] {
+		s := lookup(t, owner, key)
+		is.Equal(s.Outcome, ledger.OutcomeAnswered)
+		is.Equal(string(s.Response.Body), "the answer")
+		is.True(!claim(t, owner, key).Granted)
+	}
+	var stale *ledger.StaleError
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[9], grants[9])), &stale))
+	is.True(claim(t, owner, keys[9]).Granted)
+}
+
+// Guards against a key that is granted again after a part of the disk was lost.
+func TestLostDisk(t *testing.T) {
+	for _, lost := range []string{"identity", "journal", "everything"} {
+		t.Run(lost, func(t *testing.T) {
+			is := is.New(t)
+			files := faultfs.New()
+			owner, stop := run(t, options(files))
+			key := mint(t, owner, 1)[0]
+			is.NoErr(owner.Begin(background, beginRequest(key, claim(t, owner, key))))
+			stop()
+			removeAll(t, files, "/data/ledger", lost == "identity" || lost == "everything")
+			removeAll(t, files, "/data/ledger/journal", lost == "journal" || lost == "everything")
+			owner, _ = run(t, options(files))
+			grant := claim(t, owner, key)
+			is.Equal(grant, ledger.Grant{Status: ledger.Status{State: ledger.StateUndetermined}})
+			is.Equal(lookup(t, owner, key).State, ledger.StateUndetermined)
+			is.True(claim(t, owner, mint(t, owner, 1)[0]).Granted)
+		})
+	}
+}
+
+func removeAll(t *testing.T, files *faultfs.FS, directory string, selected bool) {
+	t.Helper()
+	names, err := files.List(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if selected && files.Remove(directory+"/"+name) != nil {
+			t.Fatal("not removed")
+		}
+	}
+}
+
+// Guards against a damaged or foreign identity file that is replaced or used.
+func TestIdentityFileIsChecked(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	_, stop := run(t, options(files))
+	stop()
+	var refused *IdentityError
+	other := options(files)
+	other.Name = "bern-2"
+	_, err := Open(other)
+	is.True(errors.As(err, &refused))
+	data, err := files.ReadFile("/data/ledger/identity")
+	is.NoErr(err)
+	for i := range data {
+		damaged := files.Crash(faultfs.Written, true)
+		damaged.Edit("/data/ledger/identity", func(b []byte) []byte {
+			b[i] ^= 1
+			return b
+		})
+		_, err = Open(options(damaged))
+		is.True(errors.As(err, &refused))
+	}
+}
+
+// Guards against a crash at any step of the start that revives old claims, forgets a begin or blocks later starts.
+func TestCrashAtEveryStepOfTheStart(t *testing.T) {
+	files := faultfs.New()
+	owner, stop := run(t, options(files))
+	keys := mint(t, owner, 2)
+	begun, waiting := claim(t, owner, keys[0]), claim(t, owner, keys[1])
+	if err := owner.Begin(background, beginRequest(keys[0], begun)); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	for _, keep := range []bool{false, true} {
+		for step, finished := 0, false; !finished; step++ {
+			is := is.New(t)
+			disk := files.Crash(faultfs.Synced, false)
+			count := 0
+			disk.SetFault(func(faultfs.Step) error {
+				if count++; count > step {
+					return syscall.EIO
+				}
+				return nil
+			})
+			_, err := Open(options(disk))
+			finished = err == nil
+			owner, stop := run(t, options(disk.Crash(faultfs.Synced, keep)))
+			is.True(owner.State().Ledger.Epoch >= 2)
+			is.Equal(claim(t, owner, keys[0]).Status.State, ledger.StateInProgress)
+			var stale *ledger.StaleError
+			is.True(errors.As(owner.Begin(background, beginRequest(keys[1], waiting)), &stale))
+			stop()
+		}
+	}
+}
+
+// gate blocks syncs of the journal's segments until it is opened.
+type gate struct {
+	entered chan struct{}
+	open    chan error
+}
+
+func (g gate) fault(s faultfs.Step) error {
+	if s.Operation != journal.OperationSync || !strings.Contains(s.Path, "segment-") {
+		return nil
+	}
+	g.entered <- struct{}{}
+	return <-g.open
+}
+
+// Guards against a begin that is acknowledged before its sync, and against one sync per begin: those that queue up
+// while a sync runs must share the next one. With the acknowledgement moved before the sync, the begin would return
+// while the gate is closed.
+func TestGroupCommit(t *testing.T) {
+	const waiting = 100
+	is := is.New(t)
+	files := faultfs.New()
+	owner, _ := run(t, options(files))
+	keys := mint(t, owner, waiting+1)
+	g := gate{entered: make(chan struct{}, 10), open: make(chan error, 10)}
+	grants := make([]ledger.Grant, len(keys))
+	for i, key := range keys {
+		grants[i] = claim(t, owner, key)
+	}
+	files.SetFault(g.fault)
+	results := make(chan error, len(keys))
+	begin := func(i int) { results <- owner.Begin(background, beginRequest(keys[i], grants[i])) }
+	go begin(0)
+	<-g.entered
+	for i := 1; i <= waiting; i++ {
+		go begin(i)
+	}
+	for owner.State().Waiting < waiting {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(results), 0) // nothing is acknowledged while the sync runs
+	g.open <- nil
+	<-g.entered
+	is.NoErr(<-results)
+	is.Equal(len(results), 0)
+	g.open <- nil
+	for range waiting {
+		is.NoErr(<-results)
+	}
+	is.Equal(len(g.entered), 0) // two syncs in all
+}
+
+// Guards against an acknowledgement that relies on a failed sync, and against an owner that hides known outcomes
+// when its journal has failed.
+func TestFailedSync(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	owner, stop := run(t, options(files))
+	keys := mint(t, owner, 3)
+	known, failing, later := claim(t, owner, keys[0]), claim(t, owner, keys[1]), claim(t, owner, keys[2])
+	is.NoErr(owner.Begin(background, beginRequest(keys[0], known)))
+	is.NoErr(owner.Complete(background, answered(keys[0], known)))
+	files.SetFault(func(s faultfs.Step) error {
+		if s.Operation == journal.OperationSync {
+			return syscall.EIO
+		}
+		return nil
+	})
+	var unavailable *ledger.UnavailableError
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[1], failing)), &unavailable))
+	files.SetFault(nil)
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[1], failing)), &unavailable))
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[2], later)), &unavailable))
+	is.Equal(lookup(t, owner, keys[0]).Outcome, ledger.OutcomeAnswered)
+	is.Equal(lookup(t, owner, keys[1]).State, ledger.StateUndetermined)
+	is.True(!claim(t, owner, keys[0]).Granted)
+	stop()
+	is.True(owner.State().Failure != "")
+	owner, _ = run(t, options(files.Crash(faultfs.Synced, false)))
+	is.True(claim(t, owner, keys[1]).Granted) // its begin was never acknowledged
+}
+
+// Guards against a full disk that stops more than writing.
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	o := options(files)
+	o.SnapshotBytes = 1
+	owner, _ := run(t, o)
+	keys := mint(t, owner, 2)
+	full := func(part string) func(faultfs.Step) error {
+		return func(s faultfs.Step) error {
+			if s.Operation == journal.OperationWrite && strings.Contains(s.Path, part) {
+				return syscall.ENOSPC
+			}
+			return nil
+		}
+	}
+	files.SetFault(full("snapshot-")) // a snapshot without space is not fatal
+	is.NoErr(owner.Begin(background, beginRequest(keys[0], claim(t, owner, keys[0]))))
+	grant := claim(t, owner, keys[1])
+	files.SetFault(full("segment-"))
+	var unavailable *ledger.UnavailableError
+	is.True(errors.As(owner.Begin(background, beginRequest(keys[1], grant)), &unavailable))
+	is.Equal(lookup(t, owner, keys[0]).State, ledger.StateInProgress)
+}
+
+// Guards against requests that wait without bound, and against an ended context that is reported as "had no effect".
+func TestRingIsBounded(t *testing.T) {
+	is := is.New(t)
+	o := options(faultfs.New())
+	o.RingCapacity = 2
+	owner, err := Open(o) // nothing serves it
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(background)
+	cancel()
+	for range 2 {
+		_, err = owner.Mint(ctx, ledger.MintRequest{})
+		var unreachable *UnreachableError
+		is.True(errors.As(err, &unreachable))
+		is.True(unreachable.MayHaveArrived)
+	}
+	var busy *BusyError
+	_, err = owner.Mint(ctx, ledger.MintRequest{})
+	is.True(errors.As(err, &busy))
+}
+
+// Guards against secrets, keys or answers in a dump.
+func TestStateHoldsNoSecrets(t *testing.T) {
+	is := is.New(t)
+	secret := bytes.Repeat([]byte("s"), 1024)
+	o := options(faultfs.New())
+	o.Random = bytes.NewReader(secret)
+	owner, stop := run(t, o)
+	key := mint(t, owner, 1)[0]
+	grant := claim(t, owner, key)
+	is.NoErr(owner.Begin(background, beginRequest(key, grant)))
+	is.NoErr(owner.Complete(background, answered(key, grant)))
+	stop()
+	dump, err := json.Marshal(owner.State())
+	is.NoErr(err)
+	is.Equal(owner.State().Ledger.Keys, 1)
+	for _, hidden := range []string{"ssss", string(key), "the answer"} {
+		is.True(!strings.Contains(string(dump)+fmt.Sprintf("%+v", owner.State()), hidden))
+	}
+}
+
+// Guards against a ledger whose time stands still after a clock step backwards, or runs back after a restart.
+func TestClockIsMonotonic(t *testing.T) {
+	is := is.New(t)
+	wall := time.UnixMilli(1_000_000)
+	c := newClock(func() time.Time { return wall }, time.UnixMilli(5_000_000))
+	is.Equal(c.now().UnixMilli(), int64(5_000_000))
+	wall = wall.Add(time.Second)
+	is.Equal(c.now().UnixMilli(), int64(5_001_000))
+	wall = wall.Add(2 * time.Hour)
+	is.Equal(c.now().UnixMilli(), int64(12_201_000))
+}
+
+// Guards against an identity decoder that panics or accepts a file that it did not write.
+func FuzzDecodeIdentity(f *testing.F) {
+	data, err := identity{Version: 1, Owner: "o", Incarnation: 2, Epoch: 3, Secret: []byte("secret")}.encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if i, err := decodeIdentity("identity", data); err == nil && i.Version != identityVersion {
+			t.Fatal("accepted an unknown version")
+		}
+	})
+}
