ledger, claims: test every part of the fence and the order within a batch

Cause: trial runs with one guard removed at a time on a scratch copy left these unnoticed: generation, epoch and holder of a fence when the other parts match, a begin after expiry, a repeated begin whose original failed to sync, look-ups in the batch of their outcome, the sync of the first start, the epoch in the identity file, entries of a lost incarnation. Change: a test for each.

--- a/internal/claims/owner_test.go
+++ b/internal/claims/owner_test.go
@@ -130,6 +130,7 @@
 			removeAll(t, files, "/data/ledger", lost == "identity" || lost == "everything")
 			removeAll(t, files, "/data/ledger/journal", lost == "journal" || lost == "everything")
 			owner, _ = run(t, options(files))
+			is.Equal(owner.State().Ledger.Keys, 0) // entries that nobody can ask for are not kept
 			grant := claim(t, owner, key)
 			is.Equal(grant, ledger.Grant{Status: ledger.Status{State: ledger.StateUndetermined}})
 			is.Equal(lookup(t, owner, key).State, ledger.StateUndetermined)
@@ -151,6 +152,26 @@
 	}
 }
 
+// Guards against a first start that is forgotten in a crash, which would make the keys issued since undetermined, and
+// against an epoch below the one in the identity file.
+func TestStartIsDurable(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	owner, _ := run(t, options(files))
+	key := mint(t, owner, 1)[0]
+	files = files.Crash(faultfs.Synced, false)
+	files.Edit("/data/ledger/identity", func(data []byte) []byte {
+		i, err := decodeIdentity("identity", data)
+		is.NoErr(err)
+		i.Epoch = 50
+		data, err = i.encode()
+		is.NoErr(err)
+		return data
+	})
+	owner, _ = run(t, options(files))
+	is.Equal(claim(t, owner, key).Fence, ledger.Fence{Epoch: 51, Generation: 1})
+}
+
 // Guards against a damaged or foreign identity file that is replaced or used.
 func TestIdentityFileIsChecked(t *testing.T) {
 	is := is.New(t)
@@ -208,18 +229,34 @@
 	}
 }
 
-// gate blocks syncs of the journal's segments until it is opened.
+// gate blocks syncs of the journal's segments until it is opened with their result.
 type gate struct {
 	entered chan struct{}
 	open    chan error
 }
 
-func (g gate) fault(s faultfs.Step) error {
-	if s.Operation != journal.OperationSync || !strings.Contains(s.Path, "segment-") {
-		return nil
+func closeGate(files *faultfs.FS) gate {
+	g := gate{entered: make(chan struct{}, 10), open: make(chan error, 10)}
+	files.SetFault(func(s faultfs.Step) error {
+		if s.Operation != journal.OperationSync || !strings.Contains(s.Path, "segment-") {
+			return nil
+		}
+		g.entered <- struct{}{}
+		return <-g.open
+	})
+	return g
+}
+
+// async runs the requests at the same time and returns once all of them wait in the ring.
+func async(owner *Owner, requests ...func() error) chan error {
+	results := make(chan error, len(requests))
+	for _, r := range requests {
+		go func() { results <- r() }()
+	}
+	for owner.State().Waiting < len(requests) {
+		time.Sleep(time.Millisecond)
 	}
-	g.entered <- struct{}{}
-	return <-g.open
+	return results
 }
 
 // Guards against a begin that is acknowledged before its sync, and against one sync per begin: those that queue up
@@ -231,34 +268,75 @@
 	files := faultfs.New()
 	owner, _ := run(t, options(files))
 	keys := mint(t, owner, waiting+1)
-	g := gate{entered: make(chan struct{}, 10), open: make(chan error, 10)}
-	grants := make([]ledger.Grant, len(keys))
-	for i, key := range keys {
-		grants[i] = claim(t, owner, key)
+	var begins []func() error
+	for _, key := range keys {
+		r := beginRequest(key, claim(t, owner, key))
+		begins = append(begins, func() error { return owner.Begin(background, r) })
 	}
-	files.SetFault(g.fault)
-	results := make(chan error, len(keys))
-	begin := func(i int) { results <- owner.Begin(background, beginRequest(keys[i], grants[i])) }
-	go begin(0)
+	g := closeGate(files)
+	first := make(chan error, 1)
+	go func() { first <- begins[0]() }()
 	<-g.entered
-	for i := 1; i <= waiting; i++ {
-		go begin(i)
-	}
-	for owner.State().Waiting < waiting {
-		time.Sleep(time.Millisecond)
-	}
-	is.Equal(len(results), 0) // nothing is acknowledged while the sync runs
+	others := async(owner, begins[1:]...)
+	is.Equal(len(first), 0) // nothing is acknowledged while the sync runs
 	g.open <- nil
 	<-g.entered
-	is.NoErr(<-results)
-	is.Equal(len(results), 0)
+	is.NoErr(<-first)
+	is.Equal(len(others), 0)
 	g.open <- nil
 	for range waiting {
-		is.NoErr(<-results)
+		is.NoErr(<-others)
 	}
 	is.Equal(len(g.entered), 0) // two syncs in all
 }
 
+// Guards against a look-up that misses an outcome of its own batch, and against a repeated begin, which gives no
+// record, that is acknowledged although the sync of its original failed.
+func TestRequestsOfOneBatch(t *testing.T) {
+	for _, failure := range []error{nil, syscall.EIO} {
+		is := is.New(t)
+		files := faultfs.New()
+		owner, _ := run(t, options(files))
+		keys := mint(t, owner, 3)
+		done, repeated, blocker := claim(t, owner, keys[0]), claim(t, owner, keys[1]), claim(t, owner, keys[2])
+		is.NoErr(owner.Begin(background, beginRequest(keys[0], done)))
+		g := closeGate(files)
+		first := make(chan error, 1)
+		go func() { first <- owner.Begin(background, beginRequest(keys[2], blocker)) }()
+		<-g.entered
+		var status ledger.Status
+		looked := async(owner, func() error {
+			var err error
+			status, err = owner.Lookup(background, ledger.LookupRequest{Key: keys[0], Workspace: "w"})
+			return err
+		})
+		begin := func() error { return owner.Begin(background, beginRequest(keys[1], repeated)) }
+		complete := func() error { return owner.Complete(background, answered(keys[0], done)) }
+		results := make(chan error, 3)
+		for _, r := range []func() error{begin, begin, complete} {
+			go func() { results <- r() }()
+		}
+		for owner.State().Waiting < 4 {
+			time.Sleep(time.Millisecond)
+		}
+		g.open <- nil
+		is.NoErr(<-first)
+		g.open <- failure
+		for range 3 {
+			err := <-results
+			var unavailable *ledger.UnavailableError
+			is.Equal(errors.As(err, &unavailable), failure != nil)
+			is.True(failure != nil || err == nil)
+		}
+		is.NoErr(<-looked)
+		want := ledger.StateFinished
+		if failure != nil {
+			want = ledger.StateUndetermined
+		}
+		is.Equal(status.State, want)
+	}
+}
+
 // Guards against an acknowledgement that relies on a failed sync, and against an owner that hides known outcomes
 // when its journal has failed.
 func TestFailedSync(t *testing.T) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,7 +23,7 @@
 
 // Defaults of Limits.
 const (
-	DefaultKeys          = 1 << 20          // about 400 MB when all are begun
+	DefaultKeys          = 1 << 20          // about 210 MB when all are begun, without copies of answers
 	DefaultCopyBytes     = 32 << 20         // all copies of answers of one owner
 	DefaultResponseBytes = 64 << 10         // copy of one answer
 	DefaultClaimLifetime = time.Hour        // longer than any request waits in a queue
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -125,6 +125,55 @@
 	is.True(errors.As(err, &stale))
 }
 
+// Guards against each part of the fence that is not compared: a begin, release or outcome under an older generation
+// or epoch of the same instance, or of another instance that knows the fence, must have no effect.
+func TestEveryPartOfTheFenceCounts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(intact)
+	k := w.mint("w")
+	w.claim(k, "a")
+	w.crash(0)
+	old, current := w.claim(k, "a"), w.claim(k, "a")
+	for name, change := range map[string]func(*attempt){
+		"generation": func(a *attempt) { a.fence = old.fence },
+		"epoch":      func(a *attempt) { a.fence.Epoch-- },
+		"holder":     func(a *attempt) { a.holder = "b" },
+	} {
+		wrong := *current
+		change(&wrong)
+		var stale *StaleError
+		_, err := w.ledger.Begin(w.clock, BeginRequest{Key: k.key, Workspace: "w", Fence: wrong.fence, Holder: wrong.holder, Engine: "e", RequestID: "r"})
+		is.True(errors.As(err, &stale)) // begin
+		err = w.ledger.Release(w.clock, ReleaseRequest{Key: k.key, Workspace: "w", Fence: wrong.fence, Holder: wrong.holder})
+		is.True(errors.As(err, &stale)) // release
+		is.True(errors.As(w.finish(&wrong, outcome(OutcomeNotRun)), &stale))
+		if t.Failed() {
+			t.Fatal(name)
+		}
+	}
+	w.beginAndSettle(current)
+	is.Equal(current.step, running)
+}
+
+// Guards against a begin that is accepted after the key has expired.
+func TestBeginAfterExpiry(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(intact)
+	a := w.claim(w.mint("w"), "a")
+	w.clock = w.clock.Add(testLifetime)
+	r := BeginRequest{Key: a.key.key, Workspace: "w", Fence: a.fence, Holder: "a", Engine: "e", RequestID: "r"}
+	data, err := w.ledger.Begin(w.clock, r)
+	var expired *ExpiredError
+	is.True(errors.As(err, &expired))
+	is.True(len(data) > 0) // the time has to be synced before the error is told
+	w.write(data)
+	w.sync()
+	data, err = w.ledger.Begin(w.clock, r)
+	var stale *StaleError
+	is.True(errors.As(err, &stale))
+	is.Equal(len(data), 0)
+}
+
 // Guards against a released claim that can still begin, and a key that stays blocked after a release.
 func TestReleaseFreesTheKey(t *testing.T) {
 	is := is.New(t)
