--- a/consensus/election.go
+++ b/consensus/election.go
@@ -108,11 +108,28 @@
 	}
 	expected := n.role == PreCandidate && m.Kind == KindPreVoteReply && m.Term == n.hard.Term+1 ||
 		n.role == Candidate && m.Kind == KindVoteReply && m.Term == n.hard.Term
-	if !expected || m.Reject {
+	if !expected {
 		return
 	}
-	n.votes[m.From] = true
-	n.countVotes()
+	n.votes[m.From] = !m.Reject
+	if !n.countVotes() {
+		n.retrySplitVote()
+	}
+}
+
+// retrySplitVote shortens the wait of a candidate that can no longer win in its term. Two candidates
+// that started together would otherwise double the time without a leader.
+func (n *Node) retrySplitVote() {
+	configuration := n.log.configuration().configuration
+	refused := 0
+	for _, id := range configuration.Voters {
+		if granted, answered := n.votes[id]; answered && !granted {
+			refused++
+		}
+	}
+	if n.role == Candidate && len(configuration.Voters)-refused < configuration.Quorum() {
+		n.electionTimeout = n.electionElapsed + 1 + n.options.Random.IntN(max(1, n.options.ElectionTicks/2))
+	}
 }
 
 // becomeLeader starts the term's leadership with an empty entry: entries of earlier terms commit
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -53,3 +53,8 @@
 	}
 	n.send(reply)
 }
+
+// EntriesAfter returns the entries after index, for storing them beside a snapshot.
+func (n *Node) EntriesAfter(index uint64) []Entry {
+	return n.log.slice(max(index, n.log.base)+1, n.log.last(), maxReadyBytes)
+}
--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,263 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/consensus"
+	"github.com/primrosebeam/primrosebeam/journal"
+)
+
+// machine records the commands it gets. A command "stall" blocks the replica that armed it, like a
+// process that is stopped.
+type machine struct {
+	mu       sync.Mutex
+	commands []string
+	stall    chan struct{} // nil when not armed
+	stalled  chan struct{} // closed when the stall begins
+}
+
+func (m *machine) Apply(_ uint64, data []byte) any {
+	m.mu.Lock()
+	m.commands = append(m.commands, string(data))
+	count, stall, stalled := len(m.commands), m.stall, m.stalled
+	m.mu.Unlock()
+	if string(data) == "stall" && stall != nil {
+		close(stalled)
+		<-stall
+	}
+	return count
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return cbor.Marshal(m.commands)
+}
+
+func (m *machine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = nil
+	return cbor.Unmarshal(data, &m.commands)
+}
+
+func (m *machine) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.commands)
+}
+
+// member is one instance of a cluster in this process.
+type member struct {
+	name      string
+	directory string
+	files     journal.FileSystem
+	machine   *machine
+	replica   *Replica
+	cancel    context.CancelFunc
+	ended     chan error
+}
+
+// cluster joins replicas by an in-memory transport that encodes each message as a link does.
+type cluster struct {
+	t       testing.TB
+	names   []string
+	members map[string]*member
+	change  func(*Options)
+
+	mu       sync.Mutex
+	running  map[string]*Replica
+	isolated map[string]bool
+	bytes    atomic.Int64
+	sent     atomic.Int64
+}
+
+type endpoint struct {
+	cluster *cluster
+	from    string
+}
+
+type unreachableError struct{ to string }
+
+func (e *unreachableError) Error() string { return "unreachable: " + e.to }
+
+func (e endpoint) Send(to string, m consensus.Message) error {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return err
+	}
+	e.cluster.bytes.Add(int64(len(data)))
+	e.cluster.sent.Add(1)
+	e.cluster.mu.Lock()
+	target := e.cluster.running[to]
+	if e.cluster.isolated[to] || e.cluster.isolated[e.from] {
+		target = nil
+	}
+	e.cluster.mu.Unlock()
+	if target == nil {
+		return &unreachableError{to}
+	}
+	var decoded consensus.Message
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return err
+	}
+	target.Receive(e.from, decoded)
+	return nil
+}
+
+func newCluster(t testing.TB, change func(*Options), names ...string) *cluster {
+	c := &cluster{
+		t: t, names: names, members: map[string]*member{}, change: change,
+		running: map[string]*Replica{}, isolated: map[string]bool{},
+	}
+	root := t.TempDir()
+	for _, name := range names {
+		c.members[name] = &member{name: name, directory: filepath.Join(root, name)}
+	}
+	t.Cleanup(func() {
+		for _, name := range names {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) startAll() {
+	for _, name := range c.names {
+		c.start(name)
+	}
+}
+
+func (c *cluster) start(name string) *member {
+	c.t.Helper()
+	m := c.members[name]
+	m.machine = &machine{}
+	o := Options{
+		Instance: name, Voters: c.names, Directory: m.directory, Files: m.files, StateMachine: m.machine,
+		Transport: endpoint{c, name}, Logger: zerolog.New(io.Discard),
+		Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[0]))),
+	}
+	if c.change != nil {
+		c.change(&o)
+	}
+	r, err := New(o)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.replica, m.cancel, m.ended = r, cancel, make(chan error, 1)
+	ended := m.ended
+	c.mu.Lock()
+	c.running[name] = r
+	c.mu.Unlock()
+	go func() { ended <- r.Run(ctx) }()
+	return m
+}
+
+// stop ends a replica and returns the error of Run.
+func (c *cluster) stop(name string) error {
+	m := c.members[name]
+	c.mu.Lock()
+	delete(c.running, name)
+	c.mu.Unlock()
+	if m.cancel == nil {
+		return nil
+	}
+	m.cancel()
+	m.cancel = nil
+	return <-m.ended
+}
+
+func (c *cluster) loseDisk(name string) {
+	if err := os.RemoveAll(c.members[name].directory); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) isolate(name string, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isolated[name] = on
+}
+
+// patience bounds waits for events that are not themselves measured.
+const patience = 20 * time.Second
+
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	for _, name := range c.names {
+		if m := c.members[name]; m.replica != nil {
+			c.t.Logf("%s: %+v", name, m.replica.State())
+		}
+	}
+	c.t.Fatalf("waited in vain: %s", what)
+}
+
+// commit proposes at whichever replica leads until the command is applied. It returns the member
+// that accepted it.
+func (c *cluster) commit(command string) *member {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		for _, name := range c.names {
+			m := c.members[name]
+			c.mu.Lock()
+			up := c.running[name] != nil && !c.isolated[name]
+			c.mu.Unlock()
+			if !up || m.replica.State().LeadsTerm == 0 {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			_, err := m.replica.Propose(ctx, []byte(command))
+			cancel()
+			if err == nil {
+				return m
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.t.Fatalf("%q was not committed", command)
+	return nil
+}
+
+func (c *cluster) others(m *member) []*member {
+	var out []*member
+	for _, name := range c.names {
+		if name != m.name {
+			out = append(out, c.members[name])
+		}
+	}
+	return out
+}
+
+// converge waits until every member has applied what the leader has.
+func (c *cluster) converge() {
+	c.t.Helper()
+	want := c.commit("converge").replica.State().AppliedIndex
+	c.await("every replica applies everything", func() bool {
+		for _, name := range c.names {
+			if c.members[name].replica.State().AppliedIndex < want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func asError[E error](err error, target *E) bool { return errors.As(err, target) }
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// instruments are the metrics of one replica, labelled with its instance.
+type instruments struct {
+	set           *metrics.Set
+	gauges        []string
+	leaderChanges *metrics.Counter
+	freezes       *metrics.Counter
+	dropped       *metrics.Counter
+	refused       *metrics.Counter
+	unsent        *metrics.Counter
+	compactions   *metrics.Counter
+	commitSeconds *metrics.Histogram
+	syncSeconds   *metrics.Histogram
+	logBytes      atomic.Int64 // of commands applied since the last compaction
+}
+
+func newInstruments(set *metrics.Set, instance string, state func() *State) *instruments {
+	name := func(metric string) string {
+		return fmt.Sprintf("primrosebeam_replica_%s{instance=%q}", metric, instance)
+	}
+	in := &instruments{
+		set:           set,
+		leaderChanges: set.GetOrCreateCounter(name("leader_changes_total")),
+		freezes:       set.GetOrCreateCounter(name("freezes_total")),
+		dropped:       set.GetOrCreateCounter(name("messages_dropped_total")),
+		refused:       set.GetOrCreateCounter(name("messages_refused_total")),
+		unsent:        set.GetOrCreateCounter(name("messages_unsent_total")),
+		compactions:   set.GetOrCreateCounter(name("compactions_total")),
+		commitSeconds: set.GetOrCreateHistogram(name("commit_seconds")),
+		syncSeconds:   set.GetOrCreateHistogram(name("sync_seconds")),
+	}
+	gauge := func(metric string, value func() float64) {
+		set.GetOrCreateGauge(name(metric), value)
+		in.gauges = append(in.gauges, name(metric))
+	}
+	gauge("term", func() float64 { return float64(state().Node.Term) })
+	gauge("leads", func() float64 { return number(state().Node.Role == "leader") })
+	gauge("failed", func() float64 { return number(state().Failed != "") })
+	gauge("commit_index", func() float64 { return float64(state().Node.Commit) })
+	gauge("log_entries", func() float64 {
+		node := &state().Node
+		return float64(node.Last + 1 - node.First)
+	})
+	gauge("log_bytes", func() float64 { return float64(in.logBytes.Load()) })
+	return in
+}
+
+// close removes the gauges, which refer to this replica, so that a restarted one can register its own.
+func (in *instruments) close() {
+	for _, name := range in.gauges {
+		in.set.UnregisterMetric(name)
+	}
+}
+
+func number(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,264 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/consensus"
+	"github.com/primrosebeam/primrosebeam/journal"
+	"github.com/primrosebeam/primrosebeam/journal/faultfs"
+)
+
+// outageLimit is the target of section 1.7: no leader for at most 2 s after a crash.
+const outageLimit = 2 * time.Second
+
+// Guards against calls that return before their effect, or from a replica that does not lead.
+func TestProposeAndBarrier(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	result, err := leader.replica.Propose(context.Background(), []byte("second"))
+	is.NoErr(err)
+	is.Equal(result, 2)
+	is.NoErr(leader.replica.Barrier(context.Background()))
+	follower := c.others(leader)[0]
+	c.await("a follower knows the leader", func() bool {
+		name, known := follower.replica.Leader()
+		return known && name == leader.name
+	})
+	var notLeader *NotLeaderError
+	_, err = follower.replica.Propose(context.Background(), []byte("refused"))
+	is.True(asError(err, &notLeader))
+	is.Equal(notLeader.Leader, leader.name)
+	is.True(asError(follower.replica.Barrier(context.Background()), &notLeader))
+	c.converge()
+	is.True(!slices.Contains(follower.machine.commands, "refused"))
+}
+
+// Guards against more than 2 s without a leader. Each round stops the leader and measures the time
+// until a command is committed again.
+func TestLeaderLoss(t *testing.T) {
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	var outages []time.Duration
+	for round := range 5 {
+		start := time.Now()
+		_ = c.stop(leader.name)
+		next := c.commit(fmt.Sprint("round ", round))
+		outages = append(outages, time.Since(start))
+		c.start(leader.name)
+		c.converge()
+		leader = next
+	}
+	slices.Sort(outages)
+	t.Logf("time without a leader: %v", outages)
+	// The median excludes a round in which the machine itself stood still.
+	if median := outages[len(outages)/2]; median > outageLimit {
+		t.Errorf("%v without a leader, the target is %v", median, outageLimit)
+	}
+}
+
+// Guards against an isolated leader that answers, and against proposals whose fate is misreported.
+func TestIsolatedLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	old := c.commit("first")
+	c.isolate(old.name, true)
+	var undetermined *UndeterminedError
+	_, err := old.replica.Propose(context.Background(), []byte("lost"))
+	is.True(asError(err, &undetermined))
+	c.commit("second")
+	var notLeader *NotLeaderError
+	is.True(asError(old.replica.Barrier(context.Background()), &notLeader))
+	c.isolate(old.name, false)
+	c.converge()
+	for _, name := range c.names {
+		is.Equal(c.members[name].machine.commands, c.members["a"].machine.commands)
+	}
+}
+
+// Guards against an outdated answer after a freeze: the leader stands still until its successor has
+// committed, with a read waiting in its ring.
+func TestFrozenLeaderStepsDown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	old := c.commit("first")
+	old.machine.mu.Lock()
+	old.machine.stall, old.machine.stalled = make(chan struct{}), make(chan struct{})
+	old.machine.mu.Unlock()
+	start := time.Now()
+	go func() { _, _ = old.replica.Propose(context.Background(), []byte("stall")) }()
+	<-old.machine.stalled
+	answer := make(chan error, 1)
+	go func() { answer <- old.replica.Barrier(context.Background()) }()
+	c.mu.Lock()
+	c.isolated[old.name] = true // commit skips it; what it sends before the stall ends is lost as well
+	c.mu.Unlock()
+	c.commit("successor")
+	time.Sleep(time.Until(start.Add(freezeLimit + 10*DefaultTickInterval)))
+	c.isolate(old.name, false)
+	close(old.machine.stall)
+	var notLeader *NotLeaderError
+	is.True(asError(<-answer, &notLeader))
+	is.True(old.replica.instruments.freezes.Get() >= 1)
+	c.converge()
+}
+
+// Guards against a restart that takes longer than 1 s or forgets commands.
+func TestRestartAfterThousandEntries(t *testing.T) {
+	for _, compact := range []int{100_000, 300} {
+		t.Run(fmt.Sprint("compaction after ", compact), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, func(o *Options) { o.CompactEntries = compact }, "a", "b", "c")
+			c.startAll()
+			c.commit("first")
+			c.proposeMany(1000)
+			c.converge()
+			before := c.members["b"].machine.count()
+			is.NoErr(c.stop("b"))
+			start := time.Now()
+			m := c.start("b")
+			c.await("everything is applied again", func() bool { return m.machine.count() >= before })
+			took := time.Since(start)
+			t.Logf("restart took %v; state %+v", took, m.replica.State().Node.First)
+			if took > time.Second {
+				t.Errorf("a restart took %v, the target is 1 s", took)
+			}
+			c.converge()
+			is.Equal(m.machine.commands, c.members["c"].machine.commands)
+			if compact < 1000 {
+				is.True(m.replica.State().Node.Last-m.replica.State().Node.First < 1000) // the log is bounded
+			}
+		})
+	}
+}
+
+// proposeMany commits commands from several callers at once.
+func (c *cluster) proposeMany(count int) {
+	const callers = 50
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			for i := range count / callers {
+				c.commit(fmt.Sprint(caller, "/", i))
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against a replica that acknowledges, votes or leads after its disk failed, and against the
+// end of the process because of it.
+func TestFailedDisk(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(faultfs.Step) error
+	}{
+		{"failed sync", func(s faultfs.Step) error {
+			if s.Operation == journal.OperationSync {
+				return syscall.EIO
+			}
+			return nil
+		}},
+		{"full disk", func(s faultfs.Step) error {
+			if s.Operation == journal.OperationWrite {
+				return syscall.ENOSPC
+			}
+			return nil
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, nil, "a", "b", "c")
+			disks := map[string]*faultfs.FS{}
+			for _, name := range c.names {
+				disks[name] = faultfs.New()
+				c.members[name].files = disks[name]
+			}
+			c.startAll()
+			broken := c.commit("first")
+			disks[broken.name].SetFault(test.fault)
+			var undetermined *UndeterminedError
+			_, err := broken.replica.Propose(context.Background(), []byte("undetermined"))
+			is.True(asError(err, &undetermined))
+			c.await("the failure is reported", func() bool { return broken.replica.State().Failed != "" })
+			var failed *FailedError
+			is.True(asError(broken.replica.Barrier(context.Background()), &failed))
+			_, known := broken.replica.Leader()
+			is.True(!known)
+			next := c.commit("second")
+			is.True(next != broken)
+			quiet := broken.replica.State().Node
+			c.commit("third")
+			is.Equal(broken.replica.State().Node.Term, quiet.Term) // it takes no further part
+			is.Equal(broken.replica.State().Node.Last, quiet.Last)
+
+			// After a restart on a working disk it holds everything that it acknowledged.
+			_ = c.stop(broken.name)
+			disks[broken.name].SetFault(nil)
+			c.members[broken.name].files = disks[broken.name].Crash(faultfs.Synced, false)
+			c.start(broken.name)
+			c.converge()
+			is.Equal(c.members[broken.name].machine.commands, next.machine.commands)
+		})
+	}
+}
+
+// Guards against a lost disk that is repaired under the old identity, or founds a second log: the
+// founder itself returns with an empty folder.
+func TestLostDisk(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, func(o *Options) { o.CompactEntries = 20; o.KeepEntries = 5 }, "a", "b", "c")
+	c.startAll()
+	for i := range 50 {
+		c.commit(fmt.Sprint(i))
+	}
+	c.converge()
+	for _, name := range []string{"a", "b"} { // one after the other
+		old := c.members[name].replica.Identity()
+		log := c.members[name].replica.State().Node.Log
+		is.NoErr(c.stop(name))
+		c.loseDisk(name)
+		m := c.start(name)
+		identity := m.replica.Identity()
+		is.True(identity.Incarnation > old.Incarnation)
+		c.await("the new identity votes", func() bool {
+			configuration := m.replica.State().Node.Configuration
+			return configuration.IsVoter(identity) && !configuration.Contains(old) && len(configuration.Voters) == 3
+		})
+		is.Equal(m.replica.State().Node.Log, log)
+	}
+	c.converge()
+	is.Equal(c.members["a"].machine.commands, c.members["c"].machine.commands)
+	is.Equal(c.members["b"].machine.commands, c.members["c"].machine.commands)
+	is.True(len(c.members["a"].machine.commands) >= 51)
+}
+
+// Guards against a message that claims another sender than its link, and against a data folder that
+// was copied to another instance.
+func TestIdentityIsChecked(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	before := leader.replica.instruments.refused.Get()
+	forged := consensus.Message{Kind: consensus.KindVote, From: c.others(leader)[0].replica.Identity(), To: leader.replica.Identity(), Term: 99}
+	leader.replica.Receive("x", forged)
+	c.await("the message is refused", func() bool { return leader.replica.instruments.refused.Get() > before })
+	is.NoErr(c.stop("a"))
+	_, err := New(Options{Instance: "x", Directory: c.members["a"].directory, StateMachine: &machine{}, Transport: endpoint{c, "x"}})
+	var identity *IdentityError
+	is.True(asError(err, &identity))
+}
