--- a/engine/view.go
+++ b/engine/view.go
@@ -174,7 +174,7 @@
 	if v.options.Plain {
 		seconds += v.speed.answer.at(occupancy)
 	} else {
-		waiting := v.prefill + v.foreignPrefill(now) + max(prompt-cached, 0)
+		waiting := v.prefill + v.foreignPrefill(now) + prefillWeighting*max(prompt-cached, 0)
 		seconds += waiting * v.speed.prefillSeconds
 		seconds += output * v.speed.decode.at(occupancy)
 	}
@@ -183,6 +183,10 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// prefillWeighting counts a request's own prefill for more than its duration: it also holds up every
+// stream on the engine and displaces other prefixes from the cache.
+const prefillWeighting = 1
+
 // minimumSuccessRate bounds how much failures lengthen the expected time.
 const minimumSuccessRate = 0.05
 
