Weigh a request's own prefill eightfold in the choice of engine

Cause: the uncached part of a prompt counted with its duration only, though it also holds up every stream on the engine and displaces other prefixes. Change: prefillWeighting 8. It decides while several engines have room and changes nothing in a backlog.

--- a/engine/view.go
+++ b/engine/view.go
@@ -185,7 +185,7 @@
 
 // prefillWeighting counts a request's own prefill for more than its duration: it also holds up every
 // stream on the engine and displaces other prefixes from the cache.
-const prefillWeighting = 1
+const prefillWeighting = 8
 
 // minimumSuccessRate bounds how much failures lengthen the expected time.
 const minimumSuccessRate = 0.05
