Let requests with a cached prefix exceed an engine's limit by a quarter

Cause: in a backlog a request went to whichever engine had room although another had its prompt; the recomputation used the capacity that was missing. Change: beyond its limit each engine has a reserve of a quarter, within the hard limit, for requests of which at least half the prompt is cached there, of the most urgent tier that waits and of a flow that is not ahead of its fair share. The limit is compared with the lowest latency seen and no longer with the fitted curve, which has no slope at a steady occupancy.

--- a/engine/limit.go
+++ b/engine/limit.go
@@ -9,11 +9,12 @@
 	adjustEvery       = 500 * time.Millisecond
 	decreaseFactor    = 0.9
 	increaseFactor    = 0.06
-	objectiveMargin   = 0.75 // the mean is held at this part of the objective, so that the tail meets it
-	kneeFactor        = 1.5  // latency relative to an empty engine that is accepted beyond the objective
-	plainKneeFactor   = 2    // the same for engines without an objective
-	missShare         = 0.1  // share of first tokens beyond their objective that lowers the limit
-	usedShare         = 0.75 // a limit of which less is used is not raised: there is no evidence for it
+	objectiveMargin   = 0.75  // the mean is held at this part of the objective, so that the tail meets it
+	kneeFactor        = 1.5   // latency relative to an empty engine that is accepted beyond the objective
+	plainKneeFactor   = 2     // the same for engines without an objective
+	missShare         = 0.1   // share of first tokens beyond their objective that lowers the limit
+	emptyDrift        = 0.005 // by which the latency of an empty engine may rise at each adjustment
+	usedShare         = 0.75  // a limit of which less is used is not raised: there is no evidence for it
 )
 
 // limit is the adaptive concurrency limit of an engine over all instances. It falls while measured
@@ -22,6 +23,7 @@
 	value     float64
 	hard      float64
 	objective float64 // seconds between tokens, or per answer of a plain engine; 0 means none
+	empty     float64 // latency of an almost empty engine, in seconds
 	adjusted  time.Time
 	peak      float64 // largest occupancy since adjusted
 	measured  int     // first tokens since adjusted
@@ -66,9 +68,10 @@
 	if now.Sub(l.adjusted) < adjustEvery {
 		return
 	}
+	l.observeEmpty(latency)
 	late := l.measured > 0 && float64(l.missed) > missShare*float64(l.measured)
 	switch {
-	case late || latency.mean() > l.target(latency):
+	case late || latency.mean() > l.target():
 		l.value *= decreaseFactor
 	case l.peak >= usedShare*l.value:
 		l.value += max(l.value*increaseFactor, 0.5)
@@ -78,12 +81,22 @@
 	l.peak, l.measured, l.missed = 0, 0, 0
 }
 
+// observeEmpty keeps the lowest latency seen. It rises slowly, so that an engine that has become
+// slower for good is not held at a limit of 1 for ever. The fitted curve alone does not do: at a
+// steady occupancy it has no slope, and the latency would be compared with itself.
+func (l *limit) observeEmpty(latency *curve) {
+	lowest := min(latency.at(1), latency.mean())
+	if l.empty == 0 {
+		l.empty = lowest
+	}
+	l.empty = min(l.empty*(1+emptyDrift), lowest)
+}
+
 // target is the latency up to which the limit rises. An engine that cannot meet the objective even
 // when empty is held at the knee of its curve, since a limit of 1 would waste it.
-func (l *limit) target(latency *curve) float64 {
-	empty := latency.at(1)
+func (l *limit) target() float64 {
 	if l.objective == 0 {
-		return plainKneeFactor * empty
+		return plainKneeFactor * l.empty
 	}
-	return max(objectiveMargin*l.objective, kneeFactor*empty)
+	return max(objectiveMargin*l.objective, kneeFactor*l.empty)
 }
--- a/engine/share.go
+++ b/engine/share.go
@@ -5,10 +5,21 @@
 // share is the part of an engine's limit that this instance may use.
 type share struct {
 	allowed int
+	reserve int     // requests beyond allowed whose prefix is cached
 	peers   float64 // demand of the other instances, in requests
 	known   bool    // other instances have been heard of
 }
 
+// cachedReserve is the part of the limit that may be exceeded by requests whose prefix is cached.
+// Sending them elsewhere would cost more engine time than they add here.
+const cachedReserve = 0.25
+
+// refreshReserve recomputes the reserve; the hard limit holds for all requests.
+func (s *share) refreshReserve(hard, dither, peerInFlight float64) {
+	spare := hard - peerInFlight - float64(s.allowed)
+	s.reserve = int(max(min(float64(s.allowed)*cachedReserve+dither, spare), 0))
+}
+
 // refresh divides the limit in proportion to demand. While total demand is below the limit the
 // result is at least the own demand, so that no capacity is left idle.
 func (s *share) refresh(whole, demand, dither, peerInFlight float64) {
--- a/engine/view.go
+++ b/engine/view.go
@@ -225,6 +225,7 @@
 func (v *View) Refresh(now time.Time, demand float64) {
 	whole := v.limit.value * v.Health.ramp(now)
 	v.share.refresh(whole, demand, v.options.Dither, v.load.peerInFlight)
+	v.share.refreshReserve(v.limit.hard, v.options.Dither, v.load.peerInFlight)
 }
 
 // Allowed returns how many requests this instance may have in flight on the engine.
@@ -233,6 +234,10 @@
 // Room reports whether this instance may dispatch another request to the engine.
 func (v *View) Room() bool { return v.load.own < v.share.allowed }
 
+// RoomForCached reports whether this instance may dispatch another request whose prefix the engine
+// has cached.
+func (v *View) RoomForCached() bool { return v.load.own < v.share.allowed+v.share.reserve }
+
 // Limit returns the adaptive limit over all instances, in requests.
 func (v *View) Limit() float64 { return v.limit.value }
 
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -42,6 +42,7 @@
 		return
 	}
 	s.dispatch(now)
+	s.sendHome(now, e)
 	switch {
 	case e.list == nil:
 	case barred:
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -87,6 +87,7 @@
 		s.eject(now, m)
 	}
 	m.updateOpen()
+	s.freed = m
 }
 
 // refused makes a request wait again whose attempt has ended. After its first byte that is allowed
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,7 +39,8 @@
 	inFlight   int
 	sequence   uint64
 	ticked     time.Time
-	turn       int // service that is served first, rotates
+	freed      *server // engine that a request has left in this step
+	turn       int     // service that is served first, rotates
 	decisions  []Decision
 	actions    []Action
 	counters   Counters
@@ -80,6 +81,7 @@
 	}
 	s.expire(now)
 	s.dispatch(now)
+	s.fillReserve(now)
 	return s.decisions
 }
 
