Wire links, ledger, control replicas and membership into the instance

Cause: the parts were built but the running instance did not use them. Change: every instance exchanges heartbeats, summaries, floors and reports over links; roles open the ledger owner and the control replica; the configuration comes from the log, whose first version is proposed from the settings; answers are stored with the owner of the key before the caller gets them, since an owner that dies right after an answer left resends waiting; a resend stops waiting when the instance of the first attempt is gone. Conclusion: a keyed order runs once across kill, freeze, owner restart and lost disk.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -48,6 +48,7 @@
 	return l.b.String()
 }
 
+// startProcess starts a child that ends with the test.
 func startProcess(t *testing.T, name, role string, args ...string) *process {
 	p := &process{t: t, name: name, role: role, args: args, output: &lockedBuffer{}}
 	t.Cleanup(func() {
@@ -128,11 +129,12 @@
 
 // cluster is a set of processes with one configuration.
 type cluster struct {
-	t       *testing.T
-	folder  string
-	members []*member
-	engines []*engine
-	links   map[linkName]*forwarder // between instances
+	t        *testing.T
+	folder   string
+	members  []*member
+	engines  []*engine
+	inFlight int
+	links    map[linkName]*forwarder // between instances
 }
 
 // linkName is the direction in which one instance dials another.
@@ -151,13 +153,14 @@
 	control  int // members with the control role
 	ledgers  int // members with the ledger role
 	interval time.Duration
+	inFlight int // hard limit of each engine; 0 means adaptive only
 }
 
 var centres = []string{"bern", "olten", "aarau"}
 
 func startCluster(t *testing.T, o clusterOptions) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir()}
+	c := &cluster{t: t, folder: t.TempDir(), inFlight: o.inFlight}
 	for n := range o.models {
 		c.startEngine(fmt.Sprintf("model-%d", n), "model", o.interval)
 	}
@@ -282,7 +285,7 @@
 	for n, e := range c.engines {
 		engines = append(engines, map[string]any{
 			"name": e.name, "url": "http://" + e.address, "dataCentre": centres[n%len(centres)],
-			"labels": map[string]string{"kind": e.kind},
+			"labels": map[string]string{"kind": e.kind}, "maxInFlight": c.inFlight,
 		})
 	}
 	var services []map[string]any
--- /dev/null
+++ b/e2e/keys_test.go
@@ -0,0 +1,202 @@
+package e2e
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/internal/entry"
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+)
+
+// mint asks an instance for one key.
+func mint(t *testing.T, address string) string {
+	t.Helper()
+	a, err := send(address, http.MethodPost, "/v1/keys", smallToken, `{"count":1}`, nil)
+	if err = errors.Join(err, a.err); err != nil {
+		t.Fatal(err)
+	}
+	var answer struct{ Keys []string }
+	if err := json.Unmarshal([]byte(a.body), &answer); err != nil || len(answer.Keys) != 1 {
+		t.Fatalf("status %d, body %q: %v", a.status, a.body, err)
+	}
+	return answer.Keys[0]
+}
+
+func order(address, key, body string) (answer, error) {
+	return send(address, http.MethodPost, "/orders", smallToken, body, map[string]string{entry.HeaderKey: key})
+}
+
+func outcomeOf(a answer) string {
+	return a.header.Get(entry.HeaderOutcome) + a.trailer.Get(entry.HeaderOutcome)
+}
+
+func (c *cluster) plain() *engine {
+	for _, e := range c.engines {
+		if e.kind == "plain" {
+			return e
+		}
+	}
+	return nil
+}
+
+// checkRanOnce fails the test when an order was carried out more often than limit allows.
+func (c *cluster) checkRan(body string, atLeast, atMost int) {
+	c.t.Helper()
+	total := 0
+	for _, e := range c.engines {
+		total += e.counts().Orders[body]
+	}
+	if total < atLeast || total > atMost {
+		c.t.Errorf("order %q ran %d times, want %d to %d", body, total, atLeast, atMost)
+	}
+}
+
+// Guards against an order that runs again, or an answer that is lost, when a resend reaches another instance.
+func TestResendGetsTheStoredAnswer(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 2})
+	key := mint(t, c.members[2].callers)
+	first, err := order(c.members[0].callers, key, "sack 1")
+	is.NoErr(err)
+	is.Equal(outcomeOf(first), "answered")
+	for _, m := range c.members {
+		waitFor(t, "stored answer", func() bool {
+			again, err := order(m.callers, key, "sack 1")
+			return err == nil && outcomeOf(again) == "answered" && again.body == first.body
+		})
+	}
+	c.checkRan("sack 1", 1, 1)
+	other, err := order(c.members[1].callers, key, "sack 2")
+	is.NoErr(err)
+	is.Equal(other.status, http.StatusUnprocessableEntity)
+	c.checkRan("sack 2", 0, 0)
+}
+
+// Guards against two instances that both dispatch the same key at the same time.
+func TestConcurrentResendsRunOnce(t *testing.T) {
+	c := startCluster(t, clusterOptions{members: 3, plains: 2, control: 3, ledgers: 3, interval: 30 * time.Millisecond})
+	for n := range 10 {
+		key := mint(t, c.members[n%3].callers)
+		body := fmt.Sprintf("pickup %d", n)
+		var group sync.WaitGroup
+		for _, m := range c.members {
+			for range 2 {
+				group.Go(func() {
+					a, err := order(m.callers, key, body)
+					if err == nil && outcomeOf(a) == "not-run" {
+						t.Errorf("not-run told while another attempt held the key: %s", a.body)
+					}
+				})
+			}
+		}
+		group.Wait()
+		c.checkRan(body, 1, 1)
+	}
+}
+
+// Guards against an order that is lost with the instance it waited at, and against the late begin of
+// an instance that was frozen while its order waited and ran elsewhere.
+func TestFrozenInstanceDoesNotRunTheOrderAgain(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 1, inFlight: 1})
+	c.plain().steer(standin.PathFaults, standin.Faults{Delay: 1500 * time.Millisecond})
+	blocker := make(chan error, 1)
+	go func() {
+		_, err := send(c.members[1].callers, http.MethodPost, "/orders", largeToken, "blocker", nil)
+		blocker <- err
+	}()
+	waitFor(t, "busy engine", func() bool { return c.plain().counts().Orders["blocker"] == 1 })
+	key := mint(t, c.members[0].callers)
+	waiting := make(chan answer, 1)
+	go func() {
+		a, _ := order(c.members[1].callers, key, "frozen order")
+		waiting <- a
+	}()
+	time.Sleep(300 * time.Millisecond) // the order has claimed its key and waits
+	c.members[1].signal(syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond) // the engine is free again
+	resent, err := order(c.members[2].callers, key, "frozen order")
+	is.NoErr(err)
+	is.Equal(outcomeOf(resent), "answered")
+	c.members[1].signal(syscall.SIGCONT)
+	late := <-waiting
+	if outcomeOf(late) == "not-run" {
+		t.Errorf("not-run told although the order ran: %s", late.body)
+	}
+	is.NoErr(<-blocker)
+	c.checkRan("frozen order", 1, 1)
+}
+
+// Guards against an order that waits for ever, or runs twice, after its instance was killed.
+func TestKilledInstanceLeavesTheOrderToAResend(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 1, inFlight: 1})
+	c.plain().steer(standin.PathFaults, standin.Faults{Delay: time.Second})
+	go func() { _, _ = send(c.members[1].callers, http.MethodPost, "/orders", largeToken, "blocker", nil) }()
+	waitFor(t, "busy engine", func() bool { return c.plain().counts().Orders["blocker"] == 1 })
+	key := mint(t, c.members[0].callers)
+	go func() { _, _ = order(c.members[1].callers, key, "killed order") }()
+	time.Sleep(300 * time.Millisecond)
+	c.members[1].kill()
+	resent, err := order(c.members[2].callers, key, "killed order")
+	is.NoErr(err)
+	is.Equal(outcomeOf(resent), "answered")
+	c.checkRan("killed order", 1, 1)
+}
+
+// Guards against an order that runs again because the owner of its key restarted or lost its disk.
+func TestOwnerRestartAndLostDisk(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 1})
+	owner := c.members[0]
+	key := mint(t, c.members[1].callers)
+	unused := mint(t, c.members[1].callers)
+	first, err := order(c.members[1].callers, key, "kept order")
+	is.NoErr(err)
+	is.Equal(outcomeOf(first), "answered")
+	owner.kill()
+	down, err := order(c.members[2].callers, key, "kept order")
+	is.NoErr(err)
+	is.Equal(outcomeOf(down), "undetermined")
+	owner.start()
+	c.waitReady(owner)
+	waitFor(t, "stored answer after the restart", func() bool {
+		again, err := order(c.members[2].callers, key, "kept order")
+		return err == nil && outcomeOf(again) == "answered" && again.body == first.body
+	})
+	owner.kill()
+	is.NoErr(os.RemoveAll(filepath.Join(c.folder, owner.name, "ledger")))
+	owner.start()
+	c.waitReady(owner)
+	for _, lost := range []string{key, unused} {
+		waitFor(t, "answer after the lost disk", func() bool {
+			again, err := order(c.members[2].callers, lost, "kept order")
+			return err == nil && outcomeOf(again) == "undetermined"
+		})
+	}
+	c.checkRan("kept order", 1, 1)
+}
+
+// Guards against foreign keys being taken as if they protected an order.
+func TestForeignKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 1, plains: 1, control: 1, ledgers: 1})
+	a, err := order(c.members[0].callers, "my-own-key", "foreign")
+	is.NoErr(err)
+	is.Equal(a.status, http.StatusBadRequest)
+	key := mint(t, c.members[0].callers)
+	borrowed, err := send(c.members[0].callers, http.MethodPost, "/orders", largeToken, "foreign", map[string]string{entry.HeaderKey: key})
+	is.NoErr(err)
+	is.Equal(borrowed.status, http.StatusBadRequest)
+	c.checkRan("foreign", 0, 0)
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -97,7 +97,7 @@
 
 // Guards against requests that are lost, doubled or crossed on the way through separate processes.
 func TestMixedRequestsAreAnsweredOnceAndWhole(t *testing.T) {
-	c := startCluster(t, clusterOptions{members: 3, models: 1, plains: 1, interval: time.Millisecond})
+	c := startCluster(t, clusterOptions{members: 3, models: 1, plains: 1, control: 3, ledgers: 3, interval: time.Millisecond})
 	const requests = 1000
 	const workers = 32
 	numbers := make(chan int)
--- /dev/null
+++ b/instance/cluster.go
@@ -0,0 +1,341 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/consensus"
+	"github.com/primrosebeam/primrosebeam/internal/claims"
+	"github.com/primrosebeam/primrosebeam/internal/control"
+	"github.com/primrosebeam/primrosebeam/internal/exchange"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/internal/operator"
+	"github.com/primrosebeam/primrosebeam/internal/replica"
+	"github.com/primrosebeam/primrosebeam/ledger"
+	"github.com/primrosebeam/primrosebeam/membership"
+)
+
+// kindConsensus carries the messages between control replicas.
+const kindConsensus link.Kind = "consensus"
+
+// Folders below the data folder.
+const (
+	folderLedger  = "ledger"
+	folderReplica = "replica"
+	folderControl = "control"
+)
+
+const folderMode = 0o700 // the data folder holds a secret
+
+// buildCluster builds everything that connects this instance to the others.
+func (i *Instance) buildCluster() error {
+	if i.options.Listen.Instances == "" {
+		return nil
+	}
+	if err := i.buildLink(); err != nil {
+		return err
+	}
+	if err := i.buildExchange(); err != nil {
+		return err
+	}
+	if i.options.Roles.Ledger {
+		if err := i.buildOwner(); err != nil {
+			return err
+		}
+	}
+	if len(i.replicas()) > 0 {
+		return i.buildControl()
+	}
+	return nil
+}
+
+func (i *Instance) buildLink() error {
+	peers := map[string]string{}
+	for _, peer := range i.options.Peers {
+		peers[peer.Name] = peer.Address
+	}
+	node, err := link.New(link.Options{
+		Name:          i.options.Name,
+		DataCentre:    i.options.DataCentre,
+		Incarnation:   i.incarnation,
+		SharedKey:     i.options.SharedKey,
+		ListenAddress: i.options.Listen.Instances,
+		Peers:         peers,
+		Logger:        i.options.Logger,
+		Metrics:       i.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("instance: %w", err)
+	}
+	i.link = node
+	return nil
+}
+
+func (i *Instance) buildExchange() error {
+	var seeds []membership.Hint
+	for _, peer := range i.options.Peers {
+		seeds = append(seeds, membership.Hint{Name: peer.Name, DataCentre: peer.DataCentre})
+	}
+	built, err := exchange.New(exchange.Options{
+		Name:        i.options.Name,
+		DataCentre:  i.options.DataCentre,
+		Incarnation: i.incarnation,
+		Roles:       roleNames(i.options.Roles),
+		Seeds:       seeds,
+		Caller:      i.link,
+		Deliver:     i.deliver,
+		Logger:      i.options.Logger,
+		Metrics:     i.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("instance: %w", err)
+	}
+	built.Register(i.link.Handle)
+	i.exchange = built
+	return nil
+}
+
+// Names of roles in the exchange between instances.
+const (
+	roleControl = "control"
+	roleLedger  = "ledger"
+)
+
+func roleNames(r Roles) []string {
+	var names []string
+	if r.Control {
+		names = append(names, roleControl)
+	}
+	if r.Ledger {
+		names = append(names, roleLedger)
+	}
+	return names
+}
+
+func (i *Instance) buildOwner() error {
+	owner, err := claims.Open(claims.Options{
+		Name:      i.options.Name,
+		Directory: filepath.Join(i.options.DataFolder, folderLedger),
+		Metrics:   i.metrics,
+		Logger:    i.options.Logger,
+	})
+	if err != nil {
+		return fmt.Errorf("instance: ledger: %w", err)
+	}
+	claims.Register(i.link.Handle, owner)
+	i.owner = owner
+	return nil
+}
+
+// keys returns the way to the owners of idempotency keys, or nil when no instance owns any.
+func (i *Instance) keys() ledger.Claimer {
+	if i.link == nil || len(i.ledgerOwners()) == 0 {
+		return nil
+	}
+	options := claims.ClientOptions{
+		Name:       i.options.Name,
+		DataCentre: i.options.DataCentre,
+		Caller:     i.link,
+		Owners:     i.liveOwners,
+		Metrics:    i.metrics,
+	}
+	if i.owner != nil {
+		options.Local = i.owner
+	}
+	return claims.NewClient(options)
+}
+
+// ledgerOwners lists the owners that the settings name, this instance first.
+func (i *Instance) ledgerOwners() []claims.OwnerInfo {
+	var owners []claims.OwnerInfo
+	if i.options.Roles.Ledger {
+		owners = append(owners, claims.OwnerInfo{Name: i.options.Name, DataCentre: i.options.DataCentre})
+	}
+	for _, peer := range i.options.Peers {
+		if peer.Roles.Ledger {
+			owners = append(owners, claims.OwnerInfo{Name: peer.Name, DataCentre: peer.DataCentre})
+		}
+	}
+	return owners
+}
+
+// liveOwners leaves out owners that are failed or leaving, as long as any other is left.
+func (i *Instance) liveOwners() []claims.OwnerInfo {
+	states := i.instanceStates()
+	var live []claims.OwnerInfo
+	owners := i.ledgerOwners()
+	for _, owner := range owners {
+		if state := states[owner.Name]; state != membership.StateFailed && state != membership.StateLeaving {
+			live = append(live, owner)
+		}
+	}
+	if len(live) == 0 {
+		return owners
+	}
+	return live
+}
+
+// instanceGone reports whether an instance is known to have failed or left.
+func (i *Instance) instanceGone(name string) bool {
+	if i.exchange == nil || name == i.options.Name {
+		return false
+	}
+	state := i.instanceStates()[name]
+	return state == membership.StateFailed || state == membership.StateLeaving
+}
+
+func (i *Instance) instanceStates() map[string]membership.State {
+	states := map[string]membership.State{}
+	for _, known := range i.exchange.Instances() {
+		states[known.Name] = known.State
+	}
+	return states
+}
+
+// replicas lists the control replicas that the settings name.
+func (i *Instance) replicas() []control.Peer {
+	var replicas []control.Peer
+	if i.options.Roles.Control {
+		replicas = append(replicas, control.Peer{Name: i.options.Name, DataCentre: i.options.DataCentre})
+	}
+	for _, peer := range i.options.Peers {
+		if peer.Roles.Control {
+			replicas = append(replicas, control.Peer{Name: peer.Name, DataCentre: peer.DataCentre})
+		}
+	}
+	return replicas
+}
+
+func (i *Instance) buildControl() error {
+	directory := ""
+	if i.options.DataFolder != "" {
+		directory = filepath.Join(i.options.DataFolder, folderControl)
+		if err := os.MkdirAll(directory, folderMode); err != nil {
+			return fmt.Errorf("instance: data folder: %w", err)
+		}
+	}
+	built, err := control.New(control.Options{
+		Name:       i.options.Name,
+		DataCentre: i.options.DataCentre,
+		Replicas:   i.replicas(),
+		Caller:     i.link,
+		Members:    i.members,
+		Neighbours: i.neighbours,
+		Directory:  directory,
+		OnVersion:  i.putInForce,
+		NotLeader:  notLeader,
+		Logger:     i.options.Logger,
+	})
+	if err != nil {
+		return fmt.Errorf("instance: %w", err)
+	}
+	i.control = built
+	for kind, handler := range built.Handlers() {
+		i.link.Handle(kind, handler)
+	}
+	if i.options.Roles.Control {
+		return i.buildReplica()
+	}
+	return nil
+}
+
+func (i *Instance) buildReplica() error {
+	var voters []string
+	for _, voter := range i.replicas() {
+		voters = append(voters, voter.Name)
+	}
+	built, err := replica.New(replica.Options{
+		Instance:     i.options.Name,
+		Voters:       voters,
+		Directory:    filepath.Join(i.options.DataFolder, folderReplica),
+		StateMachine: i.control.Store(),
+		Transport:    consensusTransport{i.link},
+		Logger:       i.options.Logger,
+		Metrics:      i.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("instance: replica: %w", err)
+	}
+	i.link.Handle(kindConsensus, func(_ context.Context, from link.Sender, body []byte) (any, error) {
+		var message consensus.Message
+		if err := cbor.Unmarshal(body, &message); err != nil {
+			return nil, &MessageError{From: from.Name, Cause: err}
+		}
+		built.Receive(from.Name, message)
+		return nil, nil
+	})
+	i.control.Attach(built)
+	i.replica = built
+	return nil
+}
+
+// MessageError reports a message between replicas that cannot be decoded.
+type MessageError struct {
+	From  string
+	Cause error
+}
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("instance: undecodable message from %q: %v", e.From, e.Cause)
+}
+
+func (e *MessageError) Unwrap() error { return e.Cause }
+
+type consensusTransport struct{ node *link.Node }
+
+// Send implements replica.Transport.
+func (t consensusTransport) Send(to string, m consensus.Message) error {
+	return t.node.Send(to, kindConsensus, m)
+}
+
+func notLeader(err error) (leader string, yes bool) {
+	var other *replica.NotLeaderError
+	if !errors.As(err, &other) {
+		return "", false
+	}
+	return other.Leader, true
+}
+
+// members lists the instances that have not left, for tracking where a version is in force.
+func (i *Instance) members() []control.Member {
+	var members []control.Member
+	for _, known := range i.exchange.Instances() {
+		if known.State == membership.StateLeaving {
+			continue
+		}
+		members = append(members, control.Member{
+			Name: known.Name, DataCentre: known.DataCentre, Live: known.State != membership.StateFailed,
+		})
+	}
+	return members
+}
+
+func (i *Instance) neighbours() []string {
+	var names []string
+	for _, known := range i.exchange.Instances() {
+		if known.Name != i.options.Name && known.DataCentre == i.options.DataCentre && known.State != membership.StateFailed {
+			names = append(names, known.Name)
+		}
+	}
+	return names
+}
+
+// operatorControl returns what operators steer; without control replicas the configuration is fixed.
+func (i *Instance) operatorControl() operator.Control {
+	if i.control == nil {
+		return fixedControl{document: i.options.Configuration}
+	}
+	return i.control
+}
+
+// fixedControl serves an instance without control replicas.
+type fixedControl struct{ document *configuration.Document }
+
+// initialVersion is the version of a configuration that comes from the settings.
+const initialVersion configuration.Version = 1
--- /dev/null
+++ b/instance/fixed.go
@@ -0,0 +1,42 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/control"
+)
+
+// FixedError reports a change on an instance whose configuration comes from its settings alone.
+type FixedError struct{}
+
+func (e *FixedError) Error() string {
+	return "instance: no instance has the control role, so the configuration cannot be changed"
+}
+
+// Submit implements operator.Control.
+func (fixedControl) Submit(_ context.Context, change configuration.Change) (control.Answer, error) {
+	return control.Answer{ChangeID: change.ID}, &FixedError{}
+}
+
+// Outcome implements operator.Control.
+func (fixedControl) Outcome(_ context.Context, changeID string) (control.Answer, error) {
+	return control.Answer{ChangeID: changeID}, &FixedError{}
+}
+
+// Status implements operator.Control.
+func (fixedControl) Status(context.Context) (control.Status, error) {
+	return control.Status{}, &FixedError{}
+}
+
+// Current implements operator.Control.
+func (f fixedControl) Current() (configuration.Version, *configuration.Document) {
+	if f.document == nil {
+		return 0, nil
+	}
+	return initialVersion, f.document
+}
+
+// Unreachable implements operator.Control.
+func (fixedControl) Unreachable() (since time.Time, ok bool) { return time.Time{}, false }
--- /dev/null
+++ b/instance/server.go
@@ -0,0 +1,49 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+)
+
+// server is an HTTP server on an open listener.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func newServer(address string, handler http.Handler, limits Limits) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("instance: listen: %w", err)
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &server{
+		listener: newLimitedListener(listener, limits.Connections),
+		http: &http.Server{
+			Handler:           handler,
+			Protocols:         &protocols,
+			ReadHeaderTimeout: limits.ReadTimeout,
+			MaxHeaderBytes:    limits.HeaderBytes,
+		},
+	}, nil
+}
+
+func (s *server) serve(context.Context) error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("instance: serve: %w", err)
+	}
+	return nil
+}
+
+// shutdown closes the listener and waits for requests in progress.
+func (s *server) shutdown(force context.Context) error {
+	if err := s.http.Shutdown(force); err != nil {
+		return fmt.Errorf("instance: shutdown: %w", err)
+	}
+	return nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 	Metrics     *metrics.Set
 	BodyBytes   int // largest request body
 	AnswerBytes int // answers up to this size are held until whole
+	// InstanceGone reports whether an instance is known to have failed or left; nil means never.
+	InstanceGone func(instance string) bool
 	// OnLeaving is called when an engine's answer says that it takes no more work; it must not block.
 	OnLeaving func(engine string)
 }
@@ -54,6 +56,9 @@
 // Ready reports whether requests are admitted.
 func (h *Handler) Ready() bool { return h.view.Load() != nil && !h.stopping.Load() }
 
+// Stopping reports whether Stop was called.
+func (h *Handler) Stopping() bool { return h.stopping.Load() }
+
 // Stop refuses new requests; those that were admitted go on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/upstream"
@@ -150,19 +149,6 @@
 	return &undetermined
 }
 
-// store gives the owner the answer, so that a resend through any instance gets it.
-func (x *exchange) store(response *ledger.Response) {
-	if x.key == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.incoming.Context()), ledgerTimeout)
-	defer cancel()
-	if err := x.key.complete(ctx, ledger.OutcomeAnswered, response); err != nil {
-		x.handler.options.Logger.Warn().Str("request", x.id).Err(err).Msg("answer not stored at the owner of the key")
-		x.handler.count("unstored_answers_total")
-	}
-}
-
 // join answers a resend whose key has begun or finished before.
 func (x *exchange) join(status ledger.Status) *Problem {
 	x.handler.count("joined_requests_total")
@@ -178,6 +164,9 @@
 func (x *exchange) awaitOutcome(status ledger.Status) *Problem {
 	deadline := time.Now().Add(joinTimeout)
 	for status.State == ledger.StateInProgress && time.Now().Before(deadline) {
+		if gone := x.handler.options.InstanceGone; gone != nil && gone(status.Holder) {
+			return problemUndetermined.with("the instance of the first attempt is gone")
+		}
 		select {
 		case <-time.After(joinInterval):
 		case <-x.incoming.Context().Done():
@@ -223,17 +212,6 @@
 	return nil
 }
 
-// storedFields selects the header fields that are kept with an answer.
-func storedFields(header http.Header) []ledger.Field {
-	var fields []ledger.Field
-	for _, name := range []string{"Content-Type", "Content-Language", "Etag", "Location"} {
-		for _, value := range header.Values(name) {
-			fields = append(fields, ledger.Field{Name: name, Value: value})
-		}
-	}
-	return fields
-}
-
 // isLedgerRefusal reports whether a dispatch failed because its begin was not granted.
 func isLedgerRefusal(err error) bool {
 	var begin *upstream.BeginError
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -60,8 +60,8 @@
 	}
 	if len(start) <= limit {
 		r.readUsage(start)
-		r.writeWhole(start)
 		r.exchange.store(r.stored(start, false))
+		r.writeWhole(start)
 		return nil
 	}
 	r.writeHeader(-1, OutcomeAnswered)
@@ -111,10 +111,6 @@
 	for name, values := range r.response.Trailer {
 		header[name] = values
 	}
-	if r.exchange.key != nil {
-		// The caller need not wait until the owner has stored the answer.
-		_ = r.flush(http.NewResponseController(r.exchange.writer))
-	}
 }
 
 func (r *relay) writeHeader(length int, outcome Outcome) {
@@ -233,6 +229,7 @@
 		x.cancelUpstream()
 		return problemBroken.with("the caller has gone")
 	}
+	x.storeUndetermined()
 	return problemBroken.with("the engine's answer broke off")
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -165,6 +165,7 @@
 		x.cancelUpstream()
 	}
 	ticket.Finish(scheduler.Finish{Result: attemptEnded(ctx)})
+	x.storeUndetermined()
 	return problemBroken.with("the engine may have run the request"), false
 }
 
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -86,7 +86,7 @@
 		if _, exists := m.workers[target]; exists {
 			continue
 		}
-		w := &worker{manager: m, target: target, stop: func() {}}
+		w := &worker{manager: m, target: target, stop: func() {}, hurry: make(chan struct{}, 1)}
 		m.workers[target] = w
 		if m.ctx != nil {
 			m.start(w)
@@ -100,6 +100,22 @@
 	m.running.Go(func() { w.run(ctx) })
 }
 
+// Hurry polls an engine at once, whether or not this instance is one of its pollers: its answer said
+// that it is leaving.
+func (m *Manager) Hurry(engine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for target, w := range m.workers {
+		if target.Name != engine {
+			continue
+		}
+		select {
+		case w.hurry <- struct{}{}:
+		default: // A poll is due already.
+		}
+	}
+}
+
 // State is the last poll of one engine, for dumps.
 type State struct {
 	Engine    string    `json:"engine"`
@@ -129,6 +145,7 @@
 	manager *Manager
 	target  Target
 	stop    context.CancelFunc
+	hurry   chan struct{}
 
 	nextChange  uint64 // sequence number of the next cache change
 	incarnation uint64
@@ -140,14 +157,18 @@
 func (w *worker) run(ctx context.Context) {
 	ticker := time.NewTicker(w.manager.options.Interval)
 	defer ticker.Stop()
+	hurried := false
 	for {
-		if selected := w.manager.options.Selected; selected == nil || selected(w.target.Name) {
+		if selected := w.manager.options.Selected; hurried || selected == nil || selected(w.target.Name) {
 			w.poll(ctx)
 		}
+		hurried = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-w.hurry:
+			hurried = true
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,15 +147,16 @@
 	checkName(at, "dataCentre", s.DataCentre)
 	checkAddress(at, "listen.callers", s.Listen.Callers)
 	checkAddress(at, "listen.operators", s.Listen.Operators)
-	if s.Listen.Instances != "" || len(s.Peers) > 0 {
+	connected := len(s.Peers) > 0 || len(s.Roles) > 0
+	if s.Listen.Instances != "" || connected {
 		checkAddress(at, "listen.instances", s.Listen.Instances)
 	}
 	checkRoles(at, "roles", s.Roles)
 	if len(s.Roles) > 0 && s.DataFolder == "" {
 		at.Add("dataFolder", ReasonMissing, "needed by the roles")
 	}
-	if len(s.Peers) > 0 && s.SharedKeyFile == "" {
-		at.Add("sharedKeyFile", ReasonMissing, "needed by the peers")
+	if (connected || s.Listen.Instances != "") && s.SharedKeyFile == "" {
+		at.Add("sharedKeyFile", ReasonMissing, "needed by connections between instances")
 	}
 	if s.OperatorTokenFile == "" {
 		at.Add("operatorTokenFile", ReasonMissing, "")
