--- /dev/null
+++ b/membership/spread_test.go
@@ -0,0 +1,186 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	spreadLimit = 3 * time.Second // the stated target
+	byteLimit   = 30_000          // bytes per second, the stated target for the whole control overhead
+)
+
+type size struct{ instances, centres int }
+
+var sizes = []size{{9, 3}, {400, 5}}
+
+// settled returns a network in which everybody has exchanged heartbeats under 10% loss.
+func settled(t testing.TB, s size) *network {
+	n := newNetwork(t, s.instances, s.centres, 7)
+	n.introduce()
+	n.loss = 0.1
+	n.run(2 * time.Second)
+	return n
+}
+
+// Guards against news that does not reach an instance, or only after the stated 3 s.
+func TestSpread(t *testing.T) {
+	for _, s := range sizes {
+		t.Run(fmt.Sprint(s.instances), func(t *testing.T) {
+			t.Parallel()
+			n := settled(t, s)
+			n.rates(1)
+			begin := n.now
+			n.run(2 * time.Second)
+			highest, mean := n.rates(n.now.Sub(begin))
+			t.Logf("idle: %.0f bytes/s highest, %.0f mean, %d partners", highest, mean, len(n.nodes[n.names[0]].Partners()))
+			if highest > byteLimit {
+				t.Errorf("an idle instance uses %.0f bytes/s", highest)
+			}
+
+			n.take(n.names[1], n.nodes[n.names[1]].Leave(n.now))
+			took := n.until("leaving instance known", spreadLimit, n.allKnow(n.names[1], StateLeaving))
+			t.Logf("leaving instance known everywhere after %s", took)
+
+			n.take(n.names[2], n.nodes[n.names[2]].LeaveEngine(n.now, "engine-1", 5))
+			took = n.until("leaving engine known", spreadLimit, func() bool {
+				return n.everywhere("", func(name string) bool { return n.nodes[name].EngineLeaving("engine-1", 5) })
+			})
+			t.Logf("leaving engine known everywhere after %s", took)
+
+			n.down[n.names[3]] = true
+			died := n.now
+			n.until("first notice of the failure", FailAfter+BeatEvery, func() bool {
+				return !n.everywhere(n.names[3], func(name string) bool { return n.state(name, n.names[3]) != StateFailed })
+			})
+			first := n.now.Sub(died)
+			took = n.until("failed instance known", spreadLimit, n.allKnow(n.names[3], StateFailed))
+			t.Logf("failed instance: first noticed after %s, known everywhere %s later", first, took)
+
+			n.rates(1)
+			begin = n.now
+			for _, name := range n.names {
+				n.take(name, n.nodes[name].SetVersion(n.now, 42))
+			}
+			// The target for a configuration change at this size is 12 s.
+			took = n.until("version of everybody known", 12*time.Second, func() bool {
+				return n.everywhere(n.names[3], func(name string) bool {
+					for _, r := range n.nodes[name].records {
+						if r.name != n.names[3] && r.version != 42 {
+							return false
+						}
+					}
+					return true
+				})
+			})
+			highest, mean = n.rates(n.now.Sub(begin))
+			t.Logf("version of everybody known everywhere after %s: %.0f bytes/s highest, %.0f mean, largest message %d", took, highest, mean, n.largest)
+			if highest > byteLimit {
+				t.Errorf("an instance uses %.0f bytes/s during a change", highest)
+			}
+		})
+	}
+}
+
+// Guards against a partition after which the sides do not find each other again, or that makes
+// either side believe that its own instances have failed.
+func TestPartitionedDataCentre(t *testing.T) {
+	// Healing at 400 instances is left out: it takes the race detector half a minute.
+	for _, s := range []size{sizes[0], {100, 5}, sizes[1]} {
+		t.Run(fmt.Sprint(s.instances), func(t *testing.T) {
+			t.Parallel()
+			n := settled(t, s)
+			inside := func(name string) bool { return n.nodes[name].self.dataCentre == "dc1" }
+			n.cut = func(from, to string) bool { return inside(from) != inside(to) }
+			agree := func(across State) func() bool {
+				return func() bool {
+					for _, a := range n.names {
+						for _, b := range n.names {
+							want := StateAlive
+							if inside(a) != inside(b) {
+								want = across
+							}
+							if a != b && n.state(a, b) != want {
+								return false
+							}
+						}
+					}
+					return true
+				}
+			}
+			n.rates(1)
+			begin := n.now
+			took := n.until("cut known", FailAfter+BeatEvery+spreadLimit, agree(StateFailed))
+			highest, mean := n.rates(n.now.Sub(begin))
+			t.Logf("cut known everywhere after %s, %.0f bytes/s highest, %.0f mean", took, highest, mean)
+			if highest > byteLimit {
+				t.Errorf("an instance uses %.0f bytes/s after a cut", highest)
+			}
+			if s == sizes[1] {
+				return
+			}
+			n.cut = nil
+			begin = n.now
+			took = n.until("cut healed", 15*time.Second, agree(StateAlive))
+			highest, mean = n.rates(n.now.Sub(begin))
+			t.Logf("healed after %s, %.0f bytes/s highest, %.0f mean", took, highest, mean)
+		})
+	}
+}
+
+// Guards against a graph that falls apart: with any one data centre failed the rest must stay connected.
+func TestPartnersAreConnected(t *testing.T) {
+	for _, s := range sizes {
+		for failed := -1; failed < s.centres; failed++ {
+			var alive []*record
+			for i := range s.instances {
+				if i%s.centres != failed {
+					alive = append(alive, &record{name: nameOf(i, s.centres), dataCentre: centreOf(i, s.centres)})
+				}
+			}
+			edges := map[string][]string{}
+			degree := 0
+			for _, r := range alive {
+				for partner := range choose(r, alive, DefaultOwnPartners, DefaultFarPartners) {
+					edges[r.name] = append(edges[r.name], partner)
+					edges[partner] = append(edges[partner], r.name)
+				}
+				degree = max(degree, len(edges[r.name]))
+			}
+			seen := map[string]bool{alive[0].name: true}
+			for queue := []string{alive[0].name}; len(queue) > 0; queue = queue[1:] {
+				for _, next := range edges[queue[0]] {
+					if !seen[next] {
+						seen[next] = true
+						queue = append(queue, next)
+					}
+				}
+			}
+			if len(seen) != len(alive) {
+				t.Errorf("%d instances without data centre %d: only %d connected", s.instances, failed, len(seen))
+			}
+			if degree > maxSlots {
+				t.Errorf("an instance has %d partners", degree)
+			}
+		}
+	}
+}
+
+// Guards against instances that never meet when they only know names.
+func TestStartFromNames(t *testing.T) {
+	n := newNetwork(t, 9, 3, 3)
+	n.loss = 0.1
+	took := n.until("everybody alive", 10*time.Second, func() bool {
+		for _, name := range n.names {
+			if !n.allKnow(name, StateAlive)() {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("9 instances knew each other after %s", took)
+	n.until("equal digests", 5*time.Second, func() bool {
+		return n.everywhere("", func(name string) bool { return n.nodes[name].Digest() == n.nodes[n.names[0]].Digest() })
+	})
+}
