--- /dev/null
+++ b/membership/bench_test.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkRound is one round of heartbeats of one instance: sending to all partners and receiving from them.
+func BenchmarkRound(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
+			n := settled(b, s)
+			m := n.nodes[n.names[0]]
+			partners := m.Partners()
+			now := n.now
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(BeatEvery)
+				m.Tick(now)
+				for _, partner := range partners {
+					r := m.records[partner]
+					m.Receive(now, Source{Name: partner, DataCentre: r.dataCentre, Incarnation: r.value.incarnation}, Heartbeat{
+						Purpose: PurposeChosen, Number: r.ackHigh + 1, AckHigh: r.numberSent, Digest: m.digest, Sequence: r.value.sequence, Version: r.version,
+					})
+				}
+			}
+			b.ReportMetric(float64(len(partners)), "partners")
+		})
+	}
+}
+
+// BenchmarkMemory reports the memory of one instance's view.
+func BenchmarkMemory(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprint(s.instances), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				n := newNetwork(b, s.instances, s.centres, 1)
+				n.introduce()
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(s.instances), "bytes/instance")
+				runtime.KeepAlive(n)
+			}
+		})
+	}
+}
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -26,6 +26,7 @@
 
 // Guards against news that does not reach an instance, or only after the stated 3 s.
 func TestSpread(t *testing.T) {
+	t.Parallel()
 	for _, s := range sizes {
 		t.Run(fmt.Sprint(s.instances), func(t *testing.T) {
 			t.Parallel()
@@ -86,6 +87,7 @@
 // Guards against a partition after which the sides do not find each other again, or that makes
 // either side believe that its own instances have failed.
 func TestPartitionedDataCentre(t *testing.T) {
+	t.Parallel()
 	// Healing at 400 instances is left out: it takes the race detector half a minute.
 	for _, s := range []size{sizes[0], {100, 5}, sizes[1]} {
 		t.Run(fmt.Sprint(s.instances), func(t *testing.T) {
