Add internal/exchange: the duty around membership

Cause: heartbeats, load summaries, floors, engine reports and leave notices must travel between partners. Change: one goroutine over a bounded ring; deltas within a byte budget; floors, reports and cache events passed on once per origin; choice of pollers; all instances are partners up to 16.

--- /dev/null
+++ b/internal/exchange/publish.go
@@ -0,0 +1,110 @@
+package exchange
+
+import (
+	"maps"
+
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/membership"
+	"github.com/primrosebeam/primrosebeam/scheduler"
+)
+
+// ownSummary is the whole load of this instance.
+type ownSummary struct{ loads map[string]engineLoad }
+
+// leave is the request to announce a planned stop.
+type leave struct{}
+
+// PublishSummary takes the load of this instance on all engines; engines that are left out have none.
+// What changed is sent to the partners at most every SummaryEvery.
+func (e *Exchange) PublishSummary(engines map[string]scheduler.PeerLoad) error {
+	loads := make(map[string]engineLoad, len(engines))
+	for name, load := range engines {
+		if load.InFlight != 0 || load.Demand != 0 {
+			loads[name] = engineLoad{Engine: name, InFlight: load.InFlight, Demand: load.Demand}
+		}
+	}
+	return e.offer(input{message: ownSummary{loads: loads}})
+}
+
+// PublishFloor asks all instances not to admit work below a tier.
+func (e *Exchange) PublishFloor(f scheduler.PublishFloor) error { return e.offer(input{message: f}) }
+
+// PublishReport passes on a report that this instance has polled. It is not delivered here.
+func (e *Exchange) PublishReport(r scheduler.LoadReport) error { return e.offer(input{message: r}) }
+
+// PublishCache passes on cache events that this instance has polled. They are not delivered here.
+// The changes must not be modified afterwards.
+func (e *Exchange) PublishCache(c scheduler.CacheEvents) error { return e.offer(input{message: c}) }
+
+// LeaveEngine announces that an incarnation of an engine is leaving. It is final, and delivered here too. The
+// caller repeats it when the ring is full.
+func (e *Exchange) LeaveEngine(engine string, incarnation uint64) error {
+	return e.offer(input{message: membership.EngineNotice{Engine: engine, Incarnation: incarnation}})
+}
+
+// Hints takes the platform's lagging list.
+func (e *Exchange) Hints(hints []membership.Hint) error { return e.offer(input{message: hints}) }
+
+// Leave announces a planned stop of this instance. The duty goes on until the context of Run ends.
+func (e *Exchange) Leave() error { return e.offer(input{message: leave{}}) }
+
+// SetVersion notes the configuration version in force here; it is spread with the next tick.
+func (e *Exchange) SetVersion(version uint64) {
+	for {
+		old := e.version.Load()
+		if version <= old || e.version.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
+// publishLeaving tells the partners at once, apart from the heartbeats.
+func (e *Exchange) publishLeaving(n membership.EngineNotice) {
+	if e.core.EngineLeaving(n.Engine, n.Incarnation) {
+		return
+	}
+	e.apply(e.core.LeaveEngine(e.now, n.Engine, n.Incarnation))
+	for _, name := range e.core.Partners() {
+		e.send(name, KindLeaving, leaving{Engines: []membership.EngineNotice{n}})
+	}
+}
+
+// maxEngines bounds the engines that one peer may name.
+const maxEngines = 4096
+
+// peerSummary is the load that another instance has reported.
+type peerSummary struct {
+	incarnation uint64
+	heard       int64 // Unix nanoseconds
+	engines     map[string]scheduler.PeerLoad
+}
+
+func (e *Exchange) takeSummary(from link.Sender, m summary) {
+	p, known := e.peers[from.Name]
+	if known && from.Incarnation < p.incarnation {
+		return
+	}
+	if !known || from.Incarnation > p.incarnation || m.Full {
+		p = &peerSummary{incarnation: from.Incarnation, engines: map[string]scheduler.PeerLoad{}}
+		e.peers[from.Name] = p
+	}
+	p.heard = e.now.UnixNano()
+	for _, l := range m.Engines {
+		switch {
+		case l.InFlight <= 0 && l.Demand <= 0:
+			delete(p.engines, l.Engine)
+		case len(p.engines) < maxEngines:
+			p.engines[l.Engine] = scheduler.PeerLoad{InFlight: max(0, l.InFlight), Demand: max(0, l.Demand)}
+		}
+	}
+	e.o.Deliver(scheduler.PeerSummary{Instance: from.Name, At: e.now, Engines: maps.Clone(p.engines)})
+}
+
+// forgetPeer withdraws the load of an instance that has failed or fallen silent.
+func (e *Exchange) forgetPeer(name string) {
+	if _, known := e.peers[name]; !known {
+		return
+	}
+	delete(e.peers, name)
+	e.o.Deliver(scheduler.PeerSummary{Instance: name, At: e.now, Engines: map[string]scheduler.PeerLoad{}})
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -226,6 +226,7 @@
 func (m *Membership) LeaveEngine(now time.Time, engine string, incarnation uint64) Output {
 	m.begin(now)
 	m.learnEngine(EngineNotice{Engine: engine, Incarnation: incarnation}, -1)
+	m.sendNews()
 	return m.out
 }
 
--- a/membership/partners.go
+++ b/membership/partners.go
@@ -11,6 +11,10 @@
 // instances of a data centre connected, and every instance observed, whatever the other choices are.
 const ringSuccessors = 2
 
+// smallCluster is the number of instances up to which all are partners: summaries then reach
+// everybody directly, and the users' 6 to 9 instances are far below the budget.
+const smallCluster = 16
+
 // weight orders candidates; both ends of a pair compute the same one, so that choices tend to be mutual.
 func weight(a, b string) uint64 {
 	if a > b {
@@ -30,6 +34,9 @@
 		}
 	}
 	chosen := map[string]bool{}
+	if len(candidates) <= smallCluster {
+		own, far = smallCluster, smallCluster*len(byCentre)
+	}
 	others := len(byCentre)
 	if len(byCentre[self.dataCentre]) > 0 {
 		others--
@@ -68,31 +75,6 @@
 	return ring[:min(ringSuccessors, len(ring))]
 }
 
-// Pollers returns the count instances that are to poll an engine, by rendezvous hashing over alive
-// instances: those of the engine's data centre, and others when there are too few.
-func Pollers(engine, dataCentre string, instances []Instance, count int) []string {
-	alive := make([]Instance, 0, len(instances))
-	for _, i := range instances {
-		if i.State == StateAlive {
-			alive = append(alive, i)
-		}
-	}
-	slices.SortFunc(alive, func(a, b Instance) int {
-		if near := (a.DataCentre == dataCentre); near != (b.DataCentre == dataCentre) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(weight(engine, b.Name), weight(engine, a.Name))
-	})
-	names := make([]string, 0, count)
-	for _, i := range alive[:min(count, len(alive))] {
-		names = append(names, i.Name)
-	}
-	return names
-}
-
 // choosePartners brings the slots into line with the instances that are reachable now.
 func (m *Membership) choosePartners() {
 	m.reselect = false
