--- a/internal/claims/benchmark_test.go
+++ b/internal/claims/benchmark_test.go
@@ -11,6 +11,42 @@
 	"github.com/primrosebeam/primrosebeam/ledger"
 )
 
+// timedFiles measures the syncs of a journal while the owner runs.
+type timedFiles struct {
+	journal.OS
+	mu    sync.Mutex
+	syncs []time.Duration
+}
+
+type timedFile struct {
+	journal.File
+	files *timedFiles
+}
+
+func (f *timedFiles) Create(path string) (journal.File, error) {
+	file, err := f.OS.Create(path)
+	return timedFile{file, f}, err
+}
+
+func (f timedFile) Sync() error {
+	start := time.Now()
+	err := f.File.Sync()
+	f.files.mu.Lock()
+	defer f.files.mu.Unlock()
+	f.files.syncs = append(f.files.syncs, time.Since(start))
+	return err
+}
+
+// take returns the sorted times since the last call.
+func (f *timedFiles) take() []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	syncs := f.syncs
+	f.syncs = nil
+	slices.Sort(syncs)
+	return syncs
+}
+
 // oneSync returns the median and the 99th percentile of the time for a record and a sync in a temporary directory.
 func oneSync(b *testing.B) (median, p99 time.Duration) {
 	const syncs = 1000
@@ -88,6 +124,79 @@
 	}
 }
 
+// BenchmarkTargetRate sends claims with begin at the target rate of 5,000 per second, each at its own time as separate
+// callers do, while the owner already stores 100,000 keys. It compares the 99th percentile of begin with the syncs of
+// the same run. The second row takes a snapshot every second, far more often than the owner does by itself.
+func BenchmarkTargetRate(b *testing.B) {
+	b.Run("steady", func(b *testing.B) { benchmarkRate(b, false) })
+	b.Run("snapshots", func(b *testing.B) { benchmarkRate(b, true) })
+}
+
+func benchmarkRate(b *testing.B, snapshots bool) {
+	const (
+		rate   = 5000 // per second
+		stored = 100_000
+		count  = 6 * rate
+	)
+	for range b.N {
+		files := &timedFiles{}
+		owner, stop := run(b, Options{Name: "bern-1", Directory: b.TempDir(), Files: files})
+		beginAll(b, owner, mintAll(b, owner, stored), 256)
+		keys := mintAll(b, owner, count)
+		files.take()
+		times := make([]time.Duration, count)
+		whole := make([]time.Duration, count) // from the planned start, so that a stall counts for all that wait for it
+		var wait sync.WaitGroup
+		start := time.Now()
+		for i, key := range keys {
+			due := start.Add(time.Duration(i) * time.Second / rate)
+			time.Sleep(time.Until(due))
+			if snapshots && i%rate == 0 {
+				wait.Go(func() { forceSnapshot(b, owner) })
+			}
+			wait.Go(func() {
+				grant := claim(b, owner, key)
+				begun := time.Now()
+				if err := owner.Begin(background, beginRequest(key, grant)); err != nil {
+					b.Error(err)
+				}
+				times[i] = time.Since(begun)
+				whole[i] = time.Since(due)
+			})
+		}
+		wait.Wait()
+		elapsed := time.Since(start)
+		syncs := files.take()
+		stop()
+		slices.Sort(times)
+		slices.Sort(whole)
+		p99 := times[count*99/100]
+		syncP99 := syncs[len(syncs)*99/100]
+		b.ReportMetric(count/elapsed.Seconds(), "begins/s")
+		b.ReportMetric(float64(times[count/2].Microseconds())/1000, "p50-ms")
+		b.ReportMetric(float64(p99.Microseconds())/1000, "p99-ms")
+		b.ReportMetric(float64(whole[count*99/100].Microseconds())/1000, "claim+begin-p99-ms")
+		b.ReportMetric(float64(whole[count-1].Microseconds())/1000, "claim+begin-max-ms")
+		b.ReportMetric(float64(syncs[len(syncs)/2].Microseconds())/1000, "sync-p50-ms")
+		b.ReportMetric(float64(syncP99.Microseconds())/1000, "sync-p99-ms")
+		b.ReportMetric(float64(p99)/float64(syncP99), "p99-per-sync-p99")
+		b.ReportMetric(float64(p99)/float64(syncs[len(syncs)/2]), "p99-per-sync-p50")
+		b.ReportMetric(count/float64(len(syncs)), "begins/sync")
+		b.ReportMetric(float64(owner.State().Snapshots), "snapshots")
+	}
+}
+
+// forceSnapshot makes the duty believe that the journal has grown enough.
+func forceSnapshot(b *testing.B, owner *Owner) {
+	err := owner.submit(background, opRelease, func(*ledger.Ledger, time.Time) ([]byte, error) {
+		owner.grown = 1 << 40
+		return nil, nil
+	})
+	if err != nil {
+		b.Error(err)
+	}
+}
+
 // BenchmarkRestart reports how long an owner with 100,000 begun keys takes to start, from the journal alone and from
 // a snapshot.
 func BenchmarkRestart(b *testing.B) {
--- a/internal/claims/owner.go
+++ b/internal/claims/owner.go
@@ -86,6 +86,7 @@
 	snapshotBytes int64 // size of the last snapshot
 	lastTick      time.Time
 	freezes       int
+	snapshotCount int
 }
 
 // Open reads the owner's files and starts a new epoch; every claim granted before is void. It returns
@@ -256,5 +257,6 @@
 		return
 	}
 	o.snapshotBytes = int64(len(data))
+	o.snapshotCount++
 	o.meters.snapshotSeconds.UpdateDuration(start)
 }
--- a/internal/claims/owner_test.go
+++ b/internal/claims/owner_test.go
@@ -102,6 +102,7 @@
 		}
 	}
 	stop()
+	is.True(owner.State().Snapshots > 0)
 	var closed *ClosedError
 	is.True(errors.As(owner.Begin(background, beginRequest(keys[9], grants[9])), &closed))
 	owner, _ = run(t, o)
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -20,6 +20,7 @@
 	BytesToSnapshot int64            `json:"bytesToSnapshot"` // journal growth until the next snapshot
 	Failure         string           `json:"failure,omitempty"`
 	Freezes         int              `json:"freezes"`
+	Snapshots       int              `json:"snapshots"` // taken since the start
 	PublishedAt     time.Time        `json:"publishedAt"`
 }
 
@@ -38,6 +39,7 @@
 		JournalLast:     o.journal.Last(),
 		BytesToSnapshot: max(o.options.SnapshotBytes, snapshotGrowth*o.snapshotBytes) - o.grown,
 		Freezes:         o.freezes,
+		Snapshots:       o.snapshotCount,
 		PublishedAt:     time.Now(),
 	}
 	if o.failure != nil {
