replica: compare state machines, not published indexes, in tests

Cause: TestLostDisk failed in 2 of 12 runs under load: the published state may be one cycle older than the end of a call, so the test went on early. Change: the tests wait until every state machine holds the same commands. Measured: three processes at once, go test -race -count=4 ./internal/replica each: 12 of 12 runs pass, 14 s each. Conclusion: a fault of the test only.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -53,10 +54,10 @@
 	return cbor.Unmarshal(data, &m.commands)
 }
 
-func (m *machine) count() int {
+func (m *machine) list() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.commands)
+	return slices.Clone(m.commands)
 }
 
 // member is one instance of a cluster in this process.
@@ -246,13 +247,14 @@
 	return out
 }
 
-// converge waits until every member has applied what the leader has.
+// converge waits until every member has applied the same commands as the leader.
 func (c *cluster) converge() {
 	c.t.Helper()
-	want := c.commit("converge").replica.State().AppliedIndex
+	leader := c.commit("converge")
 	c.await("every replica applies everything", func() bool {
+		want := leader.machine.list()
 		for _, name := range c.names {
-			if c.members[name].replica.State().AppliedIndex < want {
+			if !slices.Equal(c.members[name].machine.list(), want) {
 				return false
 			}
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -40,7 +40,7 @@
 	is.Equal(notLeader.Leader, leader.name)
 	is.True(asError(follower.replica.Barrier(context.Background()), &notLeader))
 	c.converge()
-	is.True(!slices.Contains(follower.machine.commands, "refused"))
+	is.True(!slices.Contains(follower.machine.list(), "refused"))
 }
 
 // Guards against more than 2 s without a leader. Each round stops the leader and measures the time
@@ -82,9 +82,6 @@
 	is.True(asError(old.replica.Barrier(context.Background()), &notLeader))
 	c.isolate(old.name, false)
 	c.converge()
-	for _, name := range c.names {
-		is.Equal(c.members[name].machine.commands, c.members["a"].machine.commands)
-	}
 }
 
 // Guards against an outdated answer after a freeze: the leader stands still until its successor has
@@ -125,18 +122,17 @@
 			c.commit("first")
 			c.proposeMany(1000)
 			c.converge()
-			before := c.members["b"].machine.count()
+			before := len(c.members["b"].machine.list())
 			is.NoErr(c.stop("b"))
 			start := time.Now()
 			m := c.start("b")
-			c.await("everything is applied again", func() bool { return m.machine.count() >= before })
+			c.await("everything is applied again", func() bool { return len(m.machine.list()) >= before })
 			took := time.Since(start)
 			t.Logf("restart took %v; state %+v", took, m.replica.State().Node.First)
 			if took > time.Second {
 				t.Errorf("a restart took %v, the target is 1 s", took)
 			}
 			c.converge()
-			is.Equal(m.machine.commands, c.members["c"].machine.commands)
 			if compact < 1000 {
 				is.True(m.replica.State().Node.Last-m.replica.State().Node.First < 1000) // the log is bounded
 			}
@@ -211,7 +207,6 @@
 			c.members[broken.name].files = disks[broken.name].Crash(faultfs.Synced, false)
 			c.start(broken.name)
 			c.converge()
-			is.Equal(c.members[broken.name].machine.commands, next.machine.commands)
 		})
 	}
 }
@@ -241,9 +236,7 @@
 		is.Equal(m.replica.State().Node.Log, log)
 	}
 	c.converge()
-	is.Equal(c.members["a"].machine.commands, c.members["c"].machine.commands)
-	is.Equal(c.members["b"].machine.commands, c.members["c"].machine.commands)
-	is.True(len(c.members["a"].machine.commands) >= 51)
+	is.True(len(c.members["a"].machine.list()) >= 51)
 }
 
 // Guards against a message that claims another sender than its link, and against a data folder that
