internal/control: fuzz the handlers, bound fetches apart from probes

Cause: message bodies had no fuzz target; a fetch of the largest document shared the 1 s of a probe; status could not tell suspected instances from alive ones.

Change: FuzzHandlers; Timing.Fetch with 3 s; Member.State for status.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,7 +31,8 @@
 type Member struct {
 	Name       string
 	DataCentre string
-	Live       bool // alive or suspected, not failed
+	Live       bool   // alive or suspected: it has to have a version before the version counts as in force
+	State      string // for status only, for example "suspected"
 }
 
 // Peer is a control replica named in the settings.
@@ -68,7 +69,8 @@
 	Resume     time.Duration // between two attempts to subscribe, or to get a first version
 	Lease      time.Duration // after which a subscription that is not renewed ends
 	Announce   time.Duration // between two announcements to instances that lack a version somebody waits for
-	Call       time.Duration // bound on one renewal, probe or fetch
+	Call       time.Duration // bound on one renewal or probe
+	Fetch      time.Duration // bound on one fetch
 	Propose    time.Duration // bound on a proposal at the leader
 	InForce    time.Duration // from the commit to the answer
 	Attempt    time.Duration // bound on one call of control.submit
@@ -84,6 +86,7 @@
 	Lease:      7 * time.Second, // three renewals may be lost
 	Announce:   500 * time.Millisecond,
 	Call:       time.Second,
+	Fetch:      3 * time.Second, // a document of 2 MiB at 6 Mbit/s
 	Propose:    2 * time.Second, // the longest time without a leader after a crash
 	InForce:    5 * time.Second, // the requirement for "in force in every data centre"
 	Attempt:    7500 * time.Millisecond,
@@ -200,6 +203,7 @@
 		{&t.Lease, &DefaultTiming.Lease},
 		{&t.Announce, &DefaultTiming.Announce},
 		{&t.Call, &DefaultTiming.Call},
+		{&t.Fetch, &DefaultTiming.Fetch},
 		{&t.Propose, &DefaultTiming.Propose},
 		{&t.InForce, &DefaultTiming.InForce},
 		{&t.Attempt, &DefaultTiming.Attempt},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -41,6 +41,7 @@
 func TestAcceptedIsInForceEverywhere(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		began := time.Now()
@@ -85,7 +86,7 @@
 		})
 		time.Sleep(3 * time.Second)
 		net.setCut("olten", true)
-		return namedAndHealed(is, net)
+		return namedAndHealed(is.New(t), net)
 	})
 	is.True(errors.As(err, &broken)) // the check fails when one instance anywhere is enough
 }
@@ -173,13 +174,16 @@
 func TestRacingOperatorsHaveOneWinner(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		answers := make(chan Answer)
 		for i, name := range []string{"i0-bern", "i0-olten", "i0-aarau", "r-bern", "r-olten"} {
 			go func() {
 				answer, err := submit(net, name, applyChange(fmt.Sprintf("race-%d", i), 0))
-				is.NoErr(err)
+				if err != nil {
+					t.Error(err)
+				}
 				answers <- answer
 			}()
 		}
@@ -199,6 +203,7 @@
 func TestLossOfQuorum(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
@@ -232,6 +237,7 @@
 func TestSubscribersSurviveLossOfReplica(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		net.remove("r-olten")
--- a/internal/control/inforce_test.go
+++ b/internal/control/inforce_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
@@ -71,3 +73,28 @@
 	known.forget([]Member{{Name: "member"}}, now.Add(2*time.Second), time.Second)
 	is.Equal(len(known), 1)
 }
+
+// Guards against a handler that panics on a body, or that takes one for a change.
+func FuzzHandlers(f *testing.F) {
+	net := newNet()
+	node := net.start(f, []Peer{{"r-0", "bern"}}, "r-0", "bern", "", nil)
+	f.Cleanup(net.stopAll)
+	for _, message := range []any{
+		announcement{Version: 0}, inForceReport{Version: 1, Subscribe: true}, fetchRequest{Above: 1}, outcomeRequest{ChangeID: "a"},
+		submitRequest{Change: []byte("x")},
+	} {
+		body, err := cbor.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, handler := range node.handlers {
+			_, _ = handler(context.Background(), node.sender(), body)
+		}
+		if node.control.Version() != 0 {
+			t.Fatal("a change was accepted")
+		}
+	})
+}
--- a/internal/control/probe.go
+++ b/internal/control/probe.go
@@ -59,7 +59,11 @@
 }
 
 func (c *Control) fetch(ctx context.Context, from string, body fetchRequest) (fetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timing.Call)
+	limit := c.options.Timing.Fetch
+	if body.Probe {
+		limit = c.options.Timing.Call
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var reply fetchReply
 	if err := c.options.Caller.Call(ctx, from, KindFetch, body, &reply); err != nil {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -28,6 +28,7 @@
 	Name       string                `json:"name" cbor:"name"`
 	DataCentre string                `json:"dataCentre" cbor:"dataCentre"`
 	Live       bool                  `json:"live" cbor:"live"`
+	State      string                `json:"state,omitempty" cbor:"state,omitempty"`
 	Version    configuration.Version `json:"version" cbor:"version"` // in force; 0 when not reported
 	Subscribed bool                  `json:"subscribed" cbor:"subscribed"`
 }
@@ -54,7 +55,7 @@
 	live := map[string]bool{}
 	for _, member := range members {
 		live[member.DataCentre] = live[member.DataCentre] || member.Live
-		instance := InstanceStatus{Name: member.Name, DataCentre: member.DataCentre, Live: member.Live}
+		instance := InstanceStatus{Name: member.Name, DataCentre: member.DataCentre, Live: member.Live, State: member.State}
 		if known, exists := p.table[member.Name]; exists {
 			instance.Version = known.version
 			instance.Subscribed = now.Sub(known.subscribed) <= p.control.options.Timing.Lease
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -27,7 +27,7 @@
 }
 
 // subscriber is the duty that owns the version in force at this instance. It alone moves the
-// version, only to a higher one. Its calls to other instances block it for Timing.Call at most;
+// version, only to a higher one. Its calls to other instances block it for Timing.Fetch at most;
 // announcements wait meanwhile.
 type subscriber struct {
 	control *Control
--- a/internal/control/subscriber_test.go
+++ b/internal/control/subscriber_test.go
@@ -67,6 +67,7 @@
 func TestDisklessStartTakesHighestOfNeighbours(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
@@ -88,6 +89,7 @@
 func TestEditsLeadToTheSendersDocument(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+		is := is.New(t)
 		threeCentres(t, net, nil)
 		time.Sleep(3 * time.Second)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
@@ -148,6 +150,7 @@
 			_, _, err = loadVersion(directory)
 			is.True(errors.As(err, &corrupt))
 			is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
+				is := is.New(t)
 				node := net.start(t, []Peer{{"r-bern", "bern"}}, "disk", "bern", directory, nil)
 				time.Sleep(3 * time.Second)
 				is.Equal(node.control.Version(), configuration.Version(0))
