Leave the engine time for the first token before the objective

Cause: fair queueing serves the oldest request that is not late; in a flood that is one which reaches the engine just in time and then misses the objective there. Change: a request is late from twice the mean time between dispatch and first token before its objective, at most half the objective.

--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -14,7 +14,7 @@
 	}
 	e.startBy = time.Time{}
 	if tier.FirstToken > 0 {
-		e.startBy = e.arrived.Add(tier.FirstToken)
+		e.startBy = e.arrived.Add(tier.FirstToken - e.service.firstTokenMargin(tier.FirstToken))
 	}
 }
 
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -23,6 +23,7 @@
 func (s *Scheduler) firstToken(now time.Time, id RequestID) {
 	if e := s.onEngine(id); e != nil {
 		e.sent = true
+		e.service.learnFirst(now.Sub(e.dispatched))
 		e.server.view.FirstToken(now, &e.flight)
 	}
 }
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -7,6 +7,8 @@
 
 const (
 	stretchWeight   = 0.05 // weight of one answer in the ratio of actual to estimated time
+	firstWeight     = 0.05 // weight of one first token in the mean time to it
+	firstMargin     = 2    // multiple of that mean that is left for the engine, so that the tail meets the objective
 	stretchBound    = 10   // bounds the effect of one answer on that ratio
 	outputWeight    = 0.05 // weight of one answer in the mean output of a service
 	initialOutput   = 200  // tokens, until answers were seen
@@ -31,6 +33,7 @@
 	usable  int // members that accept work
 	output  float64
 	places  float64 // requests that this instance may have on the usable members
+	first   float64 // mean seconds from dispatch to the first token
 	stretch float64 // mean ratio of actual to estimated time of a request
 
 	prefill, decode, answer float64 // mean seconds over the usable members
@@ -155,6 +158,19 @@
 	sv.stretch += stretchWeight * (ratio - sv.stretch)
 }
 
+// learnFirst records the time from a dispatch to its first token.
+func (sv *service) learnFirst(took time.Duration) {
+	sv.first += firstWeight * (took.Seconds() - sv.first)
+}
+
+// firstTokenMargin is the time before the objective at which a request has to be dispatched.
+// Without it fair queueing in a flood serves requests just before they are late, and all of them
+// miss the objective on the engine.
+func (sv *service) firstTokenMargin(objective time.Duration) time.Duration {
+	margin := time.Duration(firstMargin * sv.first * float64(time.Second))
+	return min(margin, objective/2)
+}
+
 // retryAfter returns the time in which the work that precedes the tier is expected to be done,
 // with jitter.
 func (s *Scheduler) retryAfter(sv *service, tier int) time.Duration {
