link: do not count an idle close as a failed dial; measure connections

Cause: a connection closed for idleness within a second counted as a failure, so the next calls were refused during the back-off. Change: a close by this side resets the count; gauges of connections; benchmark per connected peer.

--- /dev/null
+++ b/internal/link/cost_test.go
@@ -0,0 +1,59 @@
+package link
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against connections that stay open for ever without messages: at 400 instances every
+// instance would end up connected to most others.
+func TestIdleConnectionIsClosedAndDialledAgain(t *testing.T) {
+	is := is.New(t)
+	nodes := group(t, []string{"a", "b"}, func(o *Options) { o.IdleTimeout = 50 * time.Millisecond }, nil)
+	for range 3 {
+		_, err := callEcho(nodes["a"], "b", patience)
+		is.NoErr(err) // The close by this side is no failure after which calls are refused for a while.
+		eventually(t, "end of the idle connection", func() bool { return !nodes["a"].State().Peers[0].Connected })
+		is.Equal(nodes["a"].State().Peers[0].DialAttempts, 0)
+	}
+}
+
+// BenchmarkConnections reports what one peer costs that is connected both ways: heap, goroutines and,
+// with two heartbeats of 60 bytes per second, bytes sent and received per heartbeat, pings included.
+func BenchmarkConnections(b *testing.B) {
+	const peers = 20
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		goroutines := runtime.NumGoroutine()
+		names := []string{"hub"}
+		for i := range peers {
+			names = append(names, fmt.Sprint("peer-", i))
+		}
+		nodes := group(b, names, nil, nil)
+		const seconds = 5
+		for range 2 * seconds {
+			for _, name := range names[1:] {
+				_ = nodes["hub"].Send(name, "echo", make([]byte, 58))
+				_ = nodes[name].Send("hub", "echo", make([]byte, 58))
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		var bytes, messages uint64
+		for _, p := range nodes["hub"].State().Peers {
+			bytes += p.BytesOut + p.BytesIn
+			messages += p.MessagesOut + p.MessagesIn
+		}
+		b.ReportMetric(float64(bytes)/float64(messages), "bytes/heartbeat")
+		// Each of the peers pairs has two nodes in this process.
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(2*peers), "heap-bytes/peer")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/(2*peers), "goroutines/peer")
+	}
+}
--- a/internal/link/metrics.go
+++ b/internal/link/metrics.go
@@ -44,6 +44,10 @@
 	}
 }
 
+func (m *nodeMetrics) connections(direction string, count func() float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("primrosebeam_link_connections{direction=%q}", direction), count)
+}
+
 // refusal returns the counter of a reason. A reason received from the other side is one of a fixed set
 // as well: an unknown one is counted as "other" so that a peer cannot create metrics.
 func (m *nodeMetrics) refusal(r Reason) *metrics.Counter {
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -134,9 +134,17 @@
 			n.peers[name] = newPeer(n, name, address)
 		}
 	}
+	n.metrics.connections("dialled", func() float64 { return n.count(n.outbound) })
+	n.metrics.connections("accepted", func() float64 { return n.count(n.inbound) })
 	return n, nil
 }
 
+func (n *Node) count(sessions map[*session]struct{}) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(len(sessions))
+}
+
 func (o *Options) validate() error {
 	if err := validName("Name", o.Name); err != nil {
 		return err
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -403,7 +403,8 @@
 	}
 	p.session = nil
 	p.lastErr = err
-	if time.Since(s.since) >= steadyAfter {
+	var idle *ClosedError
+	if errors.As(err, &idle) || time.Since(s.since) >= steadyAfter {
 		p.attempts = 0
 	} else {
 		p.attempts++
