--- a/internal/claims/owner.go
+++ b/internal/claims/owner.go
@@ -86,7 +86,11 @@
 	snapshotBytes int64 // size of the last snapshot
 	lastTick      time.Time
 	freezes       int
-	snapshotCount int
+
+	staged          chan stagedSnapshot // capacity 1: one snapshot at a time
+	snapshotting    bool
+	snapshotCount   int
+	snapshotsFailed int
 }
 
 // Open reads the owner's files and starts a new epoch; every claim granted before is void. It returns
@@ -111,6 +115,7 @@
 		calls:   ring.New[*call](o.RingCapacity),
 		ledger:  core,
 		journal: log,
+		staged:  make(chan stagedSnapshot, 1),
 	}
 	if err := owner.load(); err != nil {
 		_ = log.Close() // The load error is the one to report.
@@ -170,6 +175,8 @@
 			return o.stop()
 		case <-ticker.C:
 			o.tick(time.Now())
+		case s := <-o.staged:
+			o.install(s)
 		case <-o.calls.Ready():
 			o.serve()
 		}
@@ -201,6 +208,9 @@
 func (o *Owner) stop() error {
 	o.calls.Close()
 	o.serve()
+	if o.snapshotting {
+		o.install(<-o.staged)
+	}
 	o.publish()
 	if err := o.journal.Close(); err != nil && o.failure == nil {
 		return err
@@ -234,29 +244,55 @@
 	o.options.Logger.Error().Err(err).Msg("the ledger's journal failed; the owner answers look-ups only")
 }
 
-// snapshot replaces the journal's records when they have grown enough.
+// stagedSnapshot is a snapshot on its way from the encoding goroutine to the duty.
+type stagedSnapshot struct {
+	snapshot journal.StagedSnapshot
+	size     int64
+	err      error // of the encoding
+	start    time.Time
+}
+
+// snapshot starts a snapshot when the journal has grown enough. Encoding and writing run beside the duty: they take
+// a few hundred milliseconds for 100,000 keys, and begins must not wait for that long.
 func (o *Owner) snapshot() {
-	if o.failure != nil || o.grown < max(o.options.SnapshotBytes, snapshotGrowth*o.snapshotBytes) {
+	enough := o.grown >= max(o.options.SnapshotBytes, snapshotGrowth*o.snapshotBytes)
+	if o.failure != nil || o.snapshotting || !enough {
 		return
 	}
 	start := time.Now()
-	data, err := o.ledger.Snapshot()
-	if err != nil {
-		o.fail(err)
-		return
+	view := o.ledger.View()
+	upTo := o.journal.Last() // Everything appended is synced when a batch has ended.
+	o.grown = 0              // Also when the snapshot fails, so that a full disk is not tried again at once.
+	o.snapshotting = true
+	go func() {
+		data, err := view.Encode()
+		s := stagedSnapshot{size: int64(len(data)), err: err, start: start}
+		if err == nil {
+			s.snapshot = o.journal.StageSnapshot(upTo, data)
+		}
+		o.staged <- s
+	}()
+}
+
+// install puts a finished snapshot in force.
+func (o *Owner) install(s stagedSnapshot) {
+	o.snapshotting = false
+	err := s.err
+	if err == nil {
+		err = o.journal.InstallSnapshot(s.snapshot)
 	}
-	o.grown = 0 // Also after a failure, so that a full disk is not tried again at once.
-	err = o.journal.SaveSnapshot(o.journal.Last(), data)
 	var full *journal.FullError
-	if errors.As(err, &full) {
+	switch {
+	case err == nil:
+		o.snapshotBytes = s.size
+		o.snapshotCount++
+		o.meters.snapshotSeconds.UpdateDuration(s.start)
+	case errors.As(err, &full):
+		o.snapshotsFailed++
 		o.options.Logger.Warn().Err(err).Msg("no space for a snapshot of the ledger")
-		return
-	}
-	if err != nil {
+	default:
+		o.snapshotsFailed++
 		o.fail(err)
-		return
 	}
-	o.snapshotBytes = int64(len(data))
-	o.snapshotCount++
-	o.meters.snapshotSeconds.UpdateDuration(start)
+	o.publish()
 }
--- a/internal/claims/owner_test.go
+++ b/internal/claims/owner_test.go
@@ -387,6 +387,9 @@
 	files.SetFault(full("snapshot-")) // a snapshot without space is not fatal
 	is.NoErr(owner.Begin(background, beginRequest(keys[0], claim(t, owner, keys[0]))))
 	grant := claim(t, owner, keys[1])
+	for owner.State().SnapshotsFailed == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	files.SetFault(full("segment-"))
 	var unavailable *ledger.UnavailableError
 	is.True(errors.As(owner.Begin(background, beginRequest(keys[1], grant)), &unavailable))
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -20,7 +20,8 @@
 	BytesToSnapshot int64            `json:"bytesToSnapshot"` // journal growth until the next snapshot
 	Failure         string           `json:"failure,omitempty"`
 	Freezes         int              `json:"freezes"`
-	Snapshots       int              `json:"snapshots"` // taken since the start
+	Snapshots       int              `json:"snapshots"`       // taken since the start
+	SnapshotsFailed int              `json:"snapshotsFailed"` // since the start
 	PublishedAt     time.Time        `json:"publishedAt"`
 }
 
@@ -40,6 +41,7 @@
 		BytesToSnapshot: max(o.options.SnapshotBytes, snapshotGrowth*o.snapshotBytes) - o.grown,
 		Freezes:         o.freezes,
 		Snapshots:       o.snapshotCount,
+		SnapshotsFailed: o.snapshotsFailed,
 		PublishedAt:     time.Now(),
 	}
 	if o.failure != nil {
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -402,3 +402,25 @@
 		}
 	}
 }
+
+// Guards against records that are lost when they are appended between the two halves of a snapshot.
+func TestStagedSnapshotKeepsLaterRecords(t *testing.T) {
+	is := is.New(t)
+	files := faultfs.New()
+	j := open(t, files)
+	appendRange(t, j, 1, 20)
+	is.NoErr(j.Sync())
+	staged := j.StageSnapshot(20, []byte("state"))
+	appendRange(t, j, 21, 40)
+	is.NoErr(j.Sync())
+	expect(t, open(t, files.Crash(faultfs.Synced, true)), 1, 40) // a staged snapshot is not in force
+	is.NoErr(j.InstallSnapshot(staged))
+	again := open(t, files.Crash(faultfs.Synced, false))
+	s, data, err := again.Snapshot()
+	is.NoErr(err)
+	is.Equal(s, journal.Sequence(20))
+	is.Equal(string(data), "state")
+	expect(t, again, 21, 40)
+	var outside *journal.RangeError
+	is.True(errors.As(j.InstallSnapshot(j.StageSnapshot(10, nil)), &outside)) // it must not replace a later one
+}
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -19,30 +19,71 @@
 // On *FullError the previous snapshot and every record remain and the journal stays usable.
 // It returns *FullError, *FailedError or *RangeError.
 func (j *Journal) SaveSnapshot(upTo Sequence, data []byte) error {
-	if j.failure != nil {
-		return j.failure
+	if err := j.checkSnapshot(upTo); err != nil {
+		return err
 	}
-	if upTo < j.snapshot || upTo == 0 {
-		return &RangeError{Requested: upTo, Lowest: max(1, j.snapshot), Highest: j.last}
+	return j.InstallSnapshot(j.StageSnapshot(upTo, data))
+}
+
+// StagedSnapshot is a snapshot that is written and synced but not in force.
+type StagedSnapshot struct {
+	upTo Sequence
+	err  error
+}
+
+// StageSnapshot does the slow part of SaveSnapshot: it writes and syncs a temporary file. Unlike the other methods it
+// may run on another goroutine while the journal is in use, as long as the journal is not closed meanwhile and no
+// other snapshot is being staged. A failure is reported by InstallSnapshot.
+func (j *Journal) StageSnapshot(upTo Sequence, data []byte) StagedSnapshot {
+	path := j.snapshotPath(upTo) + temporarySuffix
+	err := writeSynced(j.files, path, encodeSnapshot(upTo, data))
+	if err != nil {
+		_ = j.files.Remove(path) // Open removes a leftover.
 	}
-	if err := WriteFileAtomic(j.files, j.snapshotPath(upTo), encodeSnapshot(upTo, data)); err != nil {
-		var full *FullError
-		if errors.As(err, &full) {
-			return err
-		}
+	return StagedSnapshot{upTo: upTo, err: err}
+}
+
+// InstallSnapshot puts a staged snapshot in force and drops the segments that it covers. Errors are those of
+// SaveSnapshot.
+func (j *Journal) InstallSnapshot(s StagedSnapshot) error {
+	if err := j.checkSnapshot(s.upTo); err != nil {
+		return err
+	}
+	var full *FullError
+	if errors.As(s.err, &full) {
+		return s.err
+	}
+	if s.err != nil {
+		return j.fail(s.err)
+	}
+	path := j.snapshotPath(s.upTo)
+	if err := j.files.Rename(path+temporarySuffix, path); err != nil {
+		return j.fail(&FailedError{Operation: OperationRename, Path: path, Err: err})
+	}
+	if err := syncDirectory(j.files, j.directory); err != nil {
 		return j.fail(err)
 	}
 	previous := j.snapshot
-	j.snapshot = upTo
+	j.snapshot = s.upTo
 	if err := j.dropCovered(); err != nil {
 		return j.reject(err)
 	}
-	if previous == 0 || previous == upTo {
+	if previous == 0 || previous == s.upTo {
 		return nil
 	}
 	return j.removeSnapshot(previous)
 }
 
+func (j *Journal) checkSnapshot(upTo Sequence) error {
+	if j.failure != nil {
+		return j.failure
+	}
+	if upTo < j.snapshot || upTo == 0 {
+		return &RangeError{Requested: upTo, Lowest: max(1, j.snapshot), Highest: j.last}
+	}
+	return nil
+}
+
 // Snapshot returns the current snapshot and the sequence that it covers, or 0 and nil when there is none.
 // It returns *CorruptError or *FailedError.
 func (j *Journal) Snapshot() (Sequence, []byte, error) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -331,6 +331,26 @@
 	}
 }
 
+// Guards against a snapshot that mixes moments because it is encoded while the ledger goes on.
+func TestViewDoesNotChange(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(intact)
+	w.ledger.limits.CopyBytes = 50
+	answer := func(r *CompleteRequest) { r.Response = &Response{Status: 200, Body: make([]byte, 20)} }
+	first, second := begun(w), begun(w)
+	is.NoErr(w.finish(first, answer))
+	want, err := w.ledger.Snapshot()
+	is.NoErr(err)
+	view := w.ledger.View()
+	is.NoErr(w.finish(second, answer))
+	is.True(w.lookup(first.key).Response.Omitted) // its copy has given way
+	w.clock = w.clock.Add(time.Hour)
+	w.ledger.Tick(w.clock)
+	got, err := view.Encode()
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
 // Guards against records of a later version that are skipped or misread.
 func TestUnknownVersionsAreRefused(t *testing.T) {
 	is := is.New(t)
--- a/ledger/limits.go
+++ b/ledger/limits.go
@@ -75,18 +75,21 @@
 	id := w.copies[0]
 	w.copies = w.copies[1:]
 	if e, found := l.keys[id]; found {
-		l.dropCopy(e)
+		l.dropCopy(id, e)
 	}
 }
 
-func (l *Ledger) dropCopy(e *entry) {
+// dropCopy replaces the entry instead of changing it, because a View may be reading it.
+func (l *Ledger) dropCopy(id ID, e *entry) {
 	if e.response == nil || e.response.Omitted {
 		return
 	}
 	size := e.response.size()
 	e.workspace.copyBytes -= size
 	l.copyBytes -= size
-	e.response = &Response{Status: e.response.Status, Omitted: true}
+	stripped := *e
+	stripped.response = &Response{Status: e.response.Status, Omitted: true}
+	l.keys[id] = &stripped
 }
 
 func (l *Ledger) dropMinute(expiry int64) int64 {
@@ -128,7 +131,7 @@
 	if !found {
 		return
 	}
-	l.dropCopy(e)
+	l.dropCopy(id, e)
 	delete(l.keys, id)
 	w := e.workspace
 	for len(w.copies) > 0 && l.keys[w.copies[0]] == nil {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -151,7 +151,7 @@
 	var w *workspace
 	if found {
 		w = previous.workspace
-		l.dropCopy(previous)
+		l.dropCopy(s.ID, previous)
 	} else {
 		w = l.workspaces[s.Workspace]
 		if w == nil {
@@ -175,33 +175,47 @@
 	})
 }
 
-// Snapshot returns the state that Restore reads. Every returned record must have been committed. Entries that were
-// dropped are missing from it, and the time that proves their expiry is in it.
-func (l *Ledger) Snapshot() ([]byte, error) {
-	type numbered struct {
-		number uint64
-		id     ID
-		entry  *entry
+// View is the state of a ledger at one moment. Encode may run on another goroutine while the ledger goes on, because
+// entries are replaced and never changed in place.
+type View struct {
+	header  snapshotHeader
+	entries []numberedEntry
+}
+
+type numberedEntry struct {
+	id    ID
+	entry *entry
+}
+
+// View returns the present state, which is short work beside encoding it. Every returned record must have been
+// committed. Entries that were dropped are missing from it, and the time that proves their expiry is in it.
+func (l *Ledger) View() *View {
+	v := &View{
+		header: snapshotHeader{
+			Version:     recordVersion,
+			Time:        l.highest,
+			Incarnation: l.incarnation,
+			Epoch:       l.epoch,
+			Entries:     len(l.keys),
+		},
+		entries: make([]numberedEntry, 0, len(l.keys)),
 	}
-	all := make([]numbered, 0, len(l.keys))
 	for id, e := range l.keys {
-		all = append(all, numbered{number: e.number, id: id, entry: e})
+		v.entries = append(v.entries, numberedEntry{id: id, entry: e})
 	}
+	return v
+}
+
+// Encode returns the snapshot that Restore reads. It must be called once. It returns *RecordError.
+func (v *View) Encode() ([]byte, error) {
 	// The order of the last change keeps the copies of answers in their order.
-	slices.SortFunc(all, func(a, b numbered) int { return cmp.Compare(a.number, b.number) })
+	slices.SortFunc(v.entries, func(a, b numberedEntry) int { return cmp.Compare(a.entry.number, b.entry.number) })
 	var out bytes.Buffer
 	stream := encoder.NewEncoder(&out)
-	header := snapshotHeader{
-		Version:     recordVersion,
-		Time:        l.highest,
-		Incarnation: l.incarnation,
-		Epoch:       l.epoch,
-		Entries:     len(all),
-	}
-	if err := stream.Encode(header); err != nil {
+	if err := stream.Encode(v.header); err != nil {
 		return nil, &RecordError{Version: recordVersion, Err: err}
 	}
-	for _, n := range all {
+	for _, n := range v.entries {
 		if err := stream.Encode(n.entry.stored(n.id)); err != nil {
 			return nil, &RecordError{Version: recordVersion, Err: err}
 		}
@@ -209,6 +223,9 @@
 	return out.Bytes(), nil
 }
 
+// Snapshot returns the present state as Restore reads it. It returns *RecordError.
+func (l *Ledger) Snapshot() ([]byte, error) { return l.View().Encode() }
+
 // Restore reads a snapshot into an empty ledger. It returns *RecordError.
 func (l *Ledger) Restore(data []byte) error {
 	var header snapshotHeader
