consensus, replica: add benchmarks

Cause: the cost of a proposal, of idling, of a commit and of a restart was not measured. Change: benchmarks in both packages.

--- /dev/null
+++ b/consensus/bench_test.go
@@ -0,0 +1,91 @@
+package consensus
+
+import "testing"
+
+// trio returns an elected leader and its two followers without the checks of the simulation.
+func trio(b *testing.B) (*sim, *host) {
+	s := newSim(b, 1, "a", "b", "c")
+	leader := s.elect()
+	for _, name := range s.names {
+		s.hosts[name].node.options.MaxMessageBytes = DefaultMaxMessageBytes
+		s.hosts[name].node.options.MaxInflight = DefaultMaxInflight
+	}
+	return s, leader
+}
+
+// round carries out everything that follows from the last call, and returns the number of messages.
+func round(hosts []*host, byName map[string]*Node) int {
+	count := 0
+	for busy := true; busy; {
+		busy = false
+		for _, h := range hosts {
+			r := h.node.Ready()
+			if r.IsEmpty() {
+				continue
+			}
+			busy = true
+			for _, list := range [][]Message{r.Early, r.Messages} {
+				for i := range list {
+					count++
+					if err := byName[list[i].To.Instance].Step(list[i]); err != nil {
+						panic(err)
+					}
+				}
+			}
+			h.node.Advance(r)
+		}
+	}
+	return count
+}
+
+func nodes(s *sim) ([]*host, map[string]*Node) {
+	var hosts []*host
+	byName := map[string]*Node{}
+	for _, name := range s.names {
+		hosts = append(hosts, s.hosts[name])
+		byName[name] = s.hosts[name].node
+	}
+	return hosts, byName
+}
+
+// BenchmarkProposal is the cost in all three replicas of one committed and applied command of 256
+// bytes, without disk and network.
+func BenchmarkProposal(b *testing.B) {
+	s, leader := trio(b)
+	hosts, byName := nodes(s)
+	data := make([]byte, 256)
+	b.ReportAllocs()
+	messages := 0
+	for i := 0; b.Loop(); i++ {
+		if err := leader.node.Propose(data); err != nil {
+			b.Fatal(err)
+		}
+		messages += round(hosts, byName)
+		if i%1024 == 1023 {
+			for _, h := range hosts {
+				if err := h.node.Compact(h.node.log.applied); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	}
+	b.ReportMetric(float64(messages)/float64(b.N), "messages/op")
+}
+
+// BenchmarkHeartbeatRound is the cost in all three replicas of the ticks and messages of one idle
+// heartbeat interval.
+func BenchmarkHeartbeatRound(b *testing.B) {
+	s, _ := trio(b)
+	hosts, byName := nodes(s)
+	b.ReportAllocs()
+	messages := 0
+	for b.Loop() {
+		for range testHeartbeatTicks {
+			for _, h := range hosts {
+				h.node.Tick()
+			}
+			messages += round(hosts, byName)
+		}
+	}
+	b.ReportMetric(float64(messages)/float64(b.N), "messages/op")
+}
--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/journal"
+)
+
+// BenchmarkCommit is the latency of one proposal at a leader with two followers on real disks. The
+// metric syncs/op is that latency in units of one append and sync on the same disk.
+func BenchmarkCommit(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	unit := syncTime(b)
+	data := make([]byte, 256)
+	for b.Loop() {
+		if _, err := leader.replica.Propose(context.Background(), data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(unit), "syncs/op")
+	b.ReportMetric(float64(unit), "ns/sync")
+}
+
+func syncTime(b *testing.B) time.Duration {
+	j, err := journal.Open(journal.Options{Directory: b.TempDir()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = j.Close() }()
+	const rounds = 500
+	start := time.Now()
+	for range rounds {
+		if _, err := j.Append(make([]byte, 256)); err != nil {
+			b.Fatal(err)
+		}
+		if err := j.Sync(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return time.Since(start) / rounds
+}
+
+// BenchmarkCommitParallel shows the group commit: many callers at once.
+func BenchmarkCommitParallel(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	data := make([]byte, 256)
+	b.SetParallelism(20)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := leader.replica.Propose(context.Background(), data); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// BenchmarkIdle measures three idle replicas for a second each: bytes and messages on the links, and
+// processor time of the process, which includes encoding.
+func BenchmarkIdle(b *testing.B) {
+	c := newCluster(b, nil, "a", "b", "c")
+	c.startAll()
+	c.converge()
+	bytes, sent, cpu := c.bytes.Load(), c.sent.Load(), processorTime()
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	seconds := b.Elapsed().Seconds()
+	b.ReportMetric(float64(c.bytes.Load()-bytes)/seconds, "bytes/s")
+	b.ReportMetric(float64(c.sent.Load()-sent)/seconds, "messages/s")
+	b.ReportMetric(100*(processorTime()-cpu).Seconds()/seconds/float64(len(c.names)), "%core/replica")
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkRestart is the time from opening the data folder until 1,000 entries are applied again.
+func BenchmarkRestart(b *testing.B) {
+	c := newCluster(b, nil, "a")
+	c.startAll()
+	for i := range 1000 {
+		c.commit(fmt.Sprint(i))
+	}
+	if err := c.stop("a"); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		m := c.start("a")
+		c.await("everything is applied", func() bool { return len(m.machine.list()) >= 1000 })
+		b.StopTimer()
+		_ = c.stop("a")
+		b.StartTimer()
+	}
+}
