internal/control: count data centres that the membership does not know yet

Cause: a leader whose membership has just started knew few instances, so a change could be called accepted although a whole data centre lacked it.

Change: the data centres of the settings and of the replicas always count, and so do instances that reported lately without being known as members. configuration no longer imports net/http for two method names.

TestPartitionedDataCentreIsNamed has a third case; trial: without the known data centres it fails with an accepted change.

Conclusion: accepted needs a report from every known data centre.

--- a/configuration/validate_engines.go
+++ b/configuration/validate_engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -183,4 +182,4 @@
 	return len(route.Methods) > 0
 }
 
-func safeMethod(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+func safeMethod(method string) bool { return method == "GET" || method == "HEAD" }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +47,13 @@
 	Name       string
 	DataCentre string
 	Replicas   []Peer // all control replicas, with this instance if it is one
-	Caller     link.Caller
-	// Members returns all instances that have not left, with this one. Called from several goroutines.
+	// DataCentres are all data centres with instances, as far as the settings name them. They and
+	// those of the replicas count even while no instance there is known.
+	DataCentres []string
+	Caller      link.Caller
+	// Members returns all instances that have not left, with this one. An instance that is leaving
+	// or left lately is returned with Live false, since it may have reported a moment ago. Called
+	// from several goroutines.
 	Members func() []Member
 	// Neighbours returns the reachable instances of the own data centre, without this one.
 	Neighbours func() []string
@@ -103,6 +109,7 @@
 // Control is the part of one instance that deals with versions of the configuration.
 type Control struct {
 	options    Options
+	centres    []string             // known from the settings, sorted
 	store      *configuration.Store // nil without the control role
 	replica    Replica              // set by Attach before Run
 	publisher  *publisher           // nil without the control role
@@ -137,6 +144,12 @@
 	}
 	o.Timing = o.Timing.withDefaults()
 	c := &Control{options: o, metrics: newCounters(o.Name), submitting: make(chan struct{}, maxSubmissions)}
+	c.centres = append([]string{o.DataCentre}, o.DataCentres...)
+	for _, peer := range o.Replicas {
+		c.centres = append(c.centres, peer.DataCentre)
+	}
+	slices.Sort(c.centres)
+	c.centres = slices.Compact(c.centres)
 	c.payloads.compute = encodePayload
 	c.digests.compute = digestOf
 	c.subscriber = newSubscriber(c)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -58,15 +58,16 @@
 	}))
 }
 
-// Guards against "accepted" while one data centre lacks the version, whether its instances still
-// count as live or not.
+// Guards against "accepted" while one data centre lacks the version, whether its instances count
+// as live, as failed, or are not known to the membership yet.
 func TestPartitionedDataCentreIsNamed(t *testing.T) {
-	check := func(failed bool) func(t *testing.T, net *fakeNet) error {
+	check := func(failed, unknown bool) func(t *testing.T, net *fakeNet) error {
 		return func(t *testing.T, net *fakeNet) error {
 			is := is.New(t)
 			threeCentres(t, net, nil)
 			time.Sleep(3 * time.Second)
 			net.setCut("olten", true)
+			net.setUnknown(unknown)
 			if failed {
 				net.setFailed("r-olten", "i0-olten", "i1-olten")
 			}
@@ -74,8 +75,9 @@
 		}
 	}
 	is := is.New(t)
-	is.NoErr(inVirtualTime(t, check(false)))
-	is.NoErr(inVirtualTime(t, check(true)))
+	is.NoErr(inVirtualTime(t, check(false, false)))
+	is.NoErr(inVirtualTime(t, check(true, false)))
+	is.NoErr(inVirtualTime(t, check(false, true)))
 
 	var broken *violation
 	err := inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
@@ -92,7 +94,7 @@
 }
 
 // anyInstance is table.missing without the guard: any instance that has the version will do.
-func anyInstance(t table, members []Member, version configuration.Version) []string {
+func anyInstance(t table, members []Member, _ []string, version configuration.Version) []string {
 	for _, member := range members {
 		if t.has(member.Name, version) {
 			return nil
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -25,6 +25,7 @@
 	order       []string
 	cut         map[string]bool // by data centre; each is cut off from all others
 	failed      map[string]bool // instances that the membership takes for failed
+	unknown     bool            // the membership knows nobody yet
 	leader      string
 	replicating sync.Mutex // orders the log
 	log         [][]byte
@@ -125,6 +126,12 @@
 	}
 }
 
+func (n *fakeNet) setUnknown(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unknown = on
+}
+
 // remove takes an instance away, as if its machine were gone.
 func (n *fakeNet) remove(name string) {
 	n.mu.Lock()
@@ -145,6 +152,9 @@
 func (n *fakeNet) members() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.unknown {
+		return nil
+	}
 	members := make([]Member, 0, len(n.order))
 	for _, name := range n.order {
 		members = append(members, Member{Name: name, DataCentre: n.nodes[name].dataCentre, Live: !n.failed[name]})
--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -19,6 +19,7 @@
 
 // record is the newest report of an instance.
 type record struct {
+	dataCentre  string
 	incarnation uint64
 	version     configuration.Version
 	at          time.Time
@@ -34,14 +35,14 @@
 func (t table) note(r report, now time.Time, lease time.Duration) {
 	known, exists := t[r.name]
 	if !exists {
-		known = &record{incarnation: r.incarnation}
+		known = &record{dataCentre: r.dataCentre, incarnation: r.incarnation}
 		t[r.name] = known
 	}
 	if r.incarnation < known.incarnation && now.Sub(known.at) < lease {
 		return
 	}
 	if r.incarnation != known.incarnation {
-		*known = record{incarnation: r.incarnation}
+		*known = record{dataCentre: r.dataCentre, incarnation: r.incarnation}
 	}
 	known.at = now
 	known.version = max(known.version, r.version)
@@ -75,11 +76,32 @@
 	return exists && known.version >= version
 }
 
+// with adds the instances that reported lately and that the membership does not know yet. A replica
+// that has just started knows few members, and would otherwise take a version for being in force
+// everywhere.
+func (t table) with(members []Member, now time.Time, lease time.Duration) []Member {
+	known := make(map[string]bool, len(members))
+	for _, member := range members {
+		known[member.Name] = true
+	}
+	all := slices.Clone(members)
+	for name, r := range t {
+		if !known[name] && now.Sub(r.at) <= lease {
+			all = append(all, Member{Name: name, DataCentre: r.dataCentre, Live: true, State: "reported"})
+		}
+	}
+	return all
+}
+
 // missing returns the data centres where the version is not in force, sorted: those with a live
 // member that lacks it, and those without any live member, about which nothing is known. An
 // isolated data centre therefore never counts as having a version that it cannot have received.
-func (t table) missing(members []Member, version configuration.Version) []string {
+// centres are the data centres that exist whether or not a member is known there.
+func (t table) missing(members []Member, centres []string, version configuration.Version) []string {
 	inForce := map[string]bool{}
+	for _, centre := range centres {
+		inForce[centre] = false
+	}
 	for _, member := range members {
 		if _, seen := inForce[member.DataCentre]; !seen {
 			inForce[member.DataCentre] = false
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -37,7 +37,7 @@
 	control *Control
 	ring    *ring.Ring[publisherEvent]
 	// missing is table.missing. Tests replace it to show that their checks notice a missing guard.
-	missing func(table, []Member, configuration.Version) []string
+	missing func(t table, members []Member, centres []string, version configuration.Version) []string
 
 	// Owned by the duty.
 	table     table
@@ -91,13 +91,20 @@
 
 // everywhere returns all data centres: the answer when nothing is known.
 func (p *publisher) everywhere() []string {
-	centres := map[string]bool{p.control.options.DataCentre: true}
+	centres := map[string]bool{}
+	for _, centre := range p.control.centres {
+		centres[centre] = true
+	}
 	for _, member := range p.control.options.Members() {
 		centres[member.DataCentre] = true
 	}
 	return slices.Sorted(maps.Keys(centres))
 }
 
+func (p *publisher) members(now time.Time) []Member {
+	return p.table.with(p.control.options.Members(), now, p.control.options.Timing.Lease)
+}
+
 func (p *publisher) run(ctx context.Context) {
 	ticker := time.NewTicker(p.control.options.Timing.Announce)
 	defer ticker.Stop()
@@ -136,13 +143,12 @@
 func (p *publisher) tick(now time.Time) {
 	p.announceNew(now)
 	p.answer(now)
-	members := p.control.options.Members()
-	p.table.forget(members, now, p.control.options.Timing.Lease)
+	p.table.forget(p.control.options.Members(), now, p.control.options.Timing.Lease)
 	if len(p.waiters) == 0 {
 		return
 	}
 	newest, _ := p.control.store.Current()
-	for _, name := range p.table.lacking(members, newest) {
+	for _, name := range p.table.lacking(p.members(now), newest) {
 		p.announce(name, newest)
 	}
 }
@@ -184,9 +190,9 @@
 	if len(p.waiters) == 0 {
 		return
 	}
-	members := p.control.options.Members()
+	members := p.members(now)
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
-		missing := p.missing(p.table, members, w.version)
+		missing := p.missing(p.table, members, p.control.centres, w.version)
 		if len(missing) > 0 && now.Before(w.until) {
 			return false
 		}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -42,17 +42,20 @@
 
 // describe is called by the duty.
 func (p *publisher) describe(now time.Time) Status {
-	members := p.control.options.Members()
+	members := p.members(now)
 	newest, _ := p.control.store.Current()
 	status := Status{
 		Replica:    p.control.options.Name,
 		Version:    newest,
-		NotInForce: p.missing(p.table, members, newest),
+		NotInForce: p.missing(p.table, members, p.control.centres, newest),
 		Waiting:    len(p.waiters),
 		Events:     p.ring.Len(),
 	}
 	status.Leader, _ = p.control.replica.Leader()
 	live := map[string]bool{}
+	for _, centre := range p.control.centres {
+		live[centre] = false
+	}
 	for _, member := range members {
 		live[member.DataCentre] = live[member.DataCentre] || member.Live
 		instance := InstanceStatus{Name: member.Name, DataCentre: member.DataCentre, Live: member.Live, State: member.State}
