Name all data centres to control and refuse paths with dot segments

Cause: a data centre without a live instance was not missed when the settings alone knew it; frames were bounded below the largest configuration; routes match byte by byte, so a dot segment could reach another path on the engine. Change: pass the data centres and leaving instances to control, bound frames by the largest document, answer such paths with bad-path.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -252,6 +252,7 @@
 	}{
 		{name: "unknown token", target: "/v1/chat/completions", token: "nobody", status: 401, problem: "bad-token"},
 		{name: "unknown route", target: "/nowhere", token: smallToken, status: 404, problem: "unknown-service"},
+		{name: "dot segments", target: "/status/%2e%2e/orders", token: smallToken, status: 400, problem: "bad-path"},
 		{name: "malformed JSON", target: "/v1/chat/completions", token: smallToken, body: "{", status: 400, problem: "bad-body"},
 		{name: "bad labels", target: "/v1/chat/completions", token: smallToken, body: "{}", header: map[string]string{entry.HeaderLabels: "a"}, status: 400, problem: "bad-labels"},
 		{name: "unknown tier", target: "/v1/chat/completions", token: smallToken, body: "{}", header: map[string]string{entry.HeaderTier: "x"}, status: 400, problem: "bad-tier"},
--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -33,6 +34,9 @@
 
 const folderMode = 0o700 // the data folder holds a secret
 
+// maxFrameBytes lets a whole configuration and its envelope through.
+const maxFrameBytes = configuration.MaxDocumentBytes + 64<<10
+
 // buildCluster builds everything that connects this instance to the others.
 func (i *Instance) buildCluster() error {
 	if i.options.Listen.Instances == "" {
@@ -66,6 +70,7 @@
 		Incarnation:   i.incarnation,
 		SharedKey:     i.options.SharedKey,
 		ListenAddress: i.options.Listen.Instances,
+		MaxFrameBytes: maxFrameBytes,
 		Peers:         peers,
 		Logger:        i.options.Logger,
 		Metrics:       i.metrics,
@@ -221,16 +226,17 @@
 		}
 	}
 	built, err := control.New(control.Options{
-		Name:       i.options.Name,
-		DataCentre: i.options.DataCentre,
-		Replicas:   i.replicas(),
-		Caller:     i.link,
-		Members:    i.members,
-		Neighbours: i.neighbours,
-		Directory:  directory,
-		OnVersion:  i.putInForce,
-		NotLeader:  notLeader,
-		Logger:     i.options.Logger,
+		Name:        i.options.Name,
+		DataCentre:  i.options.DataCentre,
+		Replicas:    i.replicas(),
+		DataCentres: i.dataCentres(),
+		Caller:      i.link,
+		Members:     i.members,
+		Neighbours:  i.neighbours,
+		Directory:   directory,
+		OnVersion:   i.putInForce,
+		NotLeader:   notLeader,
+		Logger:      i.options.Logger,
 	})
 	if err != nil {
 		return fmt.Errorf("instance: %w", err)
@@ -302,20 +308,29 @@
 	return other.Leader, true
 }
 
-// members lists the instances that have not left, for tracking where a version is in force.
+// members lists the known instances, for tracking where a version is in force.
 func (i *Instance) members() []control.Member {
 	var members []control.Member
 	for _, known := range i.exchange.Instances() {
-		if known.State == membership.StateLeaving {
-			continue
-		}
 		members = append(members, control.Member{
-			Name: known.Name, DataCentre: known.DataCentre, Live: known.State != membership.StateFailed,
+			Name: known.Name, DataCentre: known.DataCentre, State: known.State.String(),
+			Live: known.State != membership.StateFailed && known.State != membership.StateLeaving,
 		})
 	}
 	return members
 }
 
+// dataCentres lists those that the settings name, so that one without a live instance is missed.
+func (i *Instance) dataCentres() []string {
+	centres := []string{i.options.DataCentre}
+	for _, peer := range i.options.Peers {
+		if !slices.Contains(centres, peer.DataCentre) {
+			centres = append(centres, peer.DataCentre)
+		}
+	}
+	return centres
+}
+
 func (i *Instance) neighbours() []string {
 	var names []string
 	for _, known := range i.exchange.Instances() {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -64,6 +64,9 @@
 	if problem := x.authenticate(); problem != nil {
 		return problem
 	}
+	if !cleanPath(x.incoming.URL.Path) {
+		return &problemPath
+	}
 	route, err := x.view.Route(x.incoming.Method, x.incoming.URL.Path)
 	var method *configuration.MethodError
 	switch {
@@ -80,6 +83,17 @@
 	return x.assignTier()
 }
 
+// cleanPath refuses empty and dot segments: routes match byte by byte, and an engine may resolve
+// such a path to one that another route protects.
+func cleanPath(path string) bool {
+	for segment := range strings.SplitSeq(strings.Trim(path, "/"), "/") {
+		if segment == "." || segment == ".." || segment == "" && path != "/" {
+			return false
+		}
+	}
+	return !strings.HasPrefix(path, "//") && !strings.HasSuffix(path, "//")
+}
+
 func (x *exchange) readBody() *Problem {
 	limited := http.MaxBytesReader(x.writer, x.incoming.Body, int64(x.handler.options.BodyBytes))
 	body, err := io.ReadAll(limited)
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -52,6 +52,7 @@
 var (
 	problemToken         = newProblem(http.StatusUnauthorized, "bad-token", "The bearer token is missing or unknown.", OutcomeNotRun)
 	problemNoRoute       = newProblem(http.StatusNotFound, "unknown-service", "No service has a route for this method and path.", OutcomeNotRun)
+	problemPath          = newProblem(http.StatusBadRequest, "bad-path", "The path has empty or dot segments.", OutcomeNotRun)
 	problemMethod        = newProblem(http.StatusMethodNotAllowed, "method-not-allowed", "The route does not take this method.", OutcomeNotRun)
 	problemLabels        = newProblem(http.StatusBadRequest, "bad-labels", "The request labels are malformed or out of bounds.", OutcomeNotRun)
 	problemTier          = newProblem(http.StatusBadRequest, "bad-tier", "The requested tier does not exist.", OutcomeNotRun)
