Let a refused connection lead to another engine without a retry budget

Cause: with the default budget of 0, a request whose engine refused the connection was rejected; and a request of which nothing was written after the connection stood had been reported as sent, so that its handler waited for ever. Change: only redispatch spends the budget; BytesSent is reported after the round trip tells whether a byte left; the duty takes plain decisions, without an allocation for each.

--- a/instance/path_benchmark_test.go
+++ b/instance/path_benchmark_test.go
@@ -41,6 +41,7 @@
 	i, err := instance.New(instance.Options{
 		Name: "a", DataCentre: "bern",
 		Listen:        instance.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		OperatorToken: "operator-token-of-the-benchmark",
 		Configuration: benchmarkDocument(engine),
 		Limits: instance.Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 1 << 20, AnswerBytes: 1 << 20, Connections: 4096, Requests: 4096, ReadTimeout: 10 * time.Second,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -207,30 +207,32 @@
 			t.dispatched = false
 		}
 	}
-	for _, action := range d.scheduler.Step(time.Now(), e) {
-		d.carryOut(action)
+	for _, decision := range d.scheduler.Decide(time.Now(), e) {
+		d.carryOut(decision)
 	}
 }
 
-func (d *Duty) carryOut(action scheduler.Action) {
-	switch a := action.(type) {
-	case scheduler.Dispatch:
-		if t, known := d.tickets[a.ID]; known {
+func (d *Duty) carryOut(decision scheduler.Decision) {
+	switch decision.Kind {
+	case scheduler.DecideDispatch:
+		if t, known := d.tickets[decision.ID]; known {
 			t.dispatched = true
-			t.decisions <- Decision{Engine: a.Engine}
+			t.decisions <- Decision{Engine: decision.Engine}
 		}
-	case scheduler.Reject:
-		if t, known := d.tickets[a.ID]; known {
-			t.decisions <- Decision{Reject: &a}
-			d.end(a.ID)
+	case scheduler.DecideReject:
+		if t, known := d.tickets[decision.ID]; known {
+			t.decisions <- Decision{Reject: &scheduler.Reject{
+				ID: decision.ID, Reason: decision.Reason, RetryAfter: decision.RetryAfter,
+			}}
+			d.end(decision.ID)
 		}
-	case scheduler.Cancel:
+	case scheduler.DecideCancel:
 		if d.onCancel != nil {
-			d.onCancel(a)
+			d.onCancel(scheduler.Cancel{ID: decision.ID, Engine: decision.Engine})
 		}
-	case scheduler.PublishFloor:
+	case scheduler.DecideFloor:
 		if d.onFloor != nil {
-			d.onFloor(a)
+			d.onFloor(scheduler.PublishFloor{Tier: decision.Tier, Expires: decision.Expires})
 		}
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -76,7 +76,10 @@
 		x.handler.detached.Add(1)
 		defer x.handler.detached.Done()
 	}
-	response, err := x.handler.options.Upstream.Do(ctx, x.upstreamRequest(ticket))
+	response, err := x.handler.options.Upstream.Do(ctx, x.upstreamRequest())
+	if !upstream.IsNotSent(err) {
+		ticket.BytesSent()
+	}
 	if err != nil {
 		return x.failed(ctx, ticket, err)
 	}
@@ -110,7 +113,7 @@
 	return x.id + "-2"
 }
 
-func (x *exchange) upstreamRequest(ticket *dispatch.Ticket) upstream.Request {
+func (x *exchange) upstreamRequest() upstream.Request {
 	header := http.Header{}
 	upstream.ForwardHeader(header, x.incoming.Header, isOwnHeader)
 	x.sends++
@@ -122,16 +125,16 @@
 		Header: header,
 		Body:   x.body,
 		ID:     x.attemptID(),
-		Begin: func(ctx context.Context) error {
-			if x.key != nil {
-				if err := x.key.begin(ctx, x.engine); err != nil {
-					return err
-				}
-			}
-			ticket.BytesSent()
-			return nil
-		},
+		Begin:  x.beginHook(),
+	}
+}
+
+// beginHook returns what has to be granted before the first byte is sent; nil without a key.
+func (x *exchange) beginHook() func(context.Context) error {
+	if x.key == nil {
+		return nil
 	}
+	return func(ctx context.Context) error { return x.key.begin(ctx, x.engine) }
 }
 
 // isOwnHeader reports whether a header is meant for primrosebeam and not for engines.
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -107,7 +107,9 @@
 	s.retry(now, e, m)
 }
 
-// retry makes an entry wait for an engine that has not refused it, within the retry budget.
+// retry makes an entry wait for an engine that has not refused it. Only a request that an engine may
+// have worked on uses up the retry budget: a refused connection costs engines nothing, and without
+// another engine the loss of one would be the caller's loss.
 func (s *Scheduler) retry(now time.Time, e *entry, m *server) {
 	sv := s.services[e.request.Service]
 	workspace, known := s.workspaces[e.request.Workspace]
@@ -117,7 +119,7 @@
 	}
 	e.service = sv
 	e.tier = min(e.tier, len(s.policy.Tiers)-1)
-	if e.refusals == maximumRefusals || !s.budget(e.request.Workspace, sv).spend() {
+	if e.refusals == maximumRefusals || e.sent && !s.budget(e.request.Workspace, sv).spend() {
 		s.rejectTaken(e, RejectRetries)
 		return
 	}
