Send the demo's orders under keys and resend some

Cause: the demo did not show what keys are for. Change: each order has a key; one in five is sent again through another instance and must get the same answer; a short demo runs as a test.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"testing"
 
 	"github.com/matryer/is"
@@ -16,3 +17,18 @@
 	is.Equal(command.Main([]string{"nothing"}, &stdout, &stderr), command.ExitUsage)
 	is.Equal(command.Main([]string{"version"}, &stdout, &stderr), command.ExitDone)
 }
+
+// Guards against a demo that no longer answers every request whole and once, or that says so without checking.
+func TestDemoPasses(t *testing.T) {
+	is := is.New(t)
+	var stdout, stderr bytes.Buffer
+	is.Equal(command.Main([]string{"demo", "-duration", "500ms", "-json"}, &stdout, &stderr), command.ExitDone)
+	var report struct {
+		Groups []struct{ Sent, Whole int }
+	}
+	is.NoErr(json.Unmarshal(stdout.Bytes(), &report))
+	is.True(len(report.Groups) > 0)
+	for _, group := range report.Groups {
+		is.Equal(group.Whole, group.Sent)
+	}
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -66,7 +66,7 @@
 		address := l.addresses[n%len(l.addresses)]
 		switch n % 4 {
 		case 0:
-			l.order(address, workspace, fmt.Sprintf("order %s/%d/%d", workspace, caller, n))
+			l.order(address, workspace, fmt.Sprintf("order %s/%d/%d", workspace, caller, n), n)
 		case 1:
 			l.status(address, workspace, n)
 		case 2:
@@ -77,20 +77,53 @@
 	}
 }
 
-func (l *load) order(address, workspace, body string) {
-	a := l.send(address, http.MethodPost, "/orders", workspace, "urgent", body, nil)
+// resendEvery is how many orders one is sent again for, as a caller does that has lost the answer.
+const resendEvery = 5
+
+// order sends an order under a key and, now and then, sends it again through another instance.
+func (l *load) order(address, workspace, body string, n int) {
+	key, err := l.key(address, workspace)
+	if err != nil {
+		l.score(workspace, "urgent", answer{failed: true}, false)
+		return
+	}
+	header := map[string]string{entry.HeaderKey: key}
+	a := l.send(address, http.MethodPost, "/orders", workspace, body, header)
 	right := a.echoes(http.MethodPost, "/orders", body)
 	l.score(workspace, "urgent", a, right)
-	if right {
-		l.mu.Lock()
-		l.orders[body] = true
-		l.mu.Unlock()
+	if !right {
+		return
+	}
+	l.mu.Lock()
+	l.orders[body] = true
+	l.mu.Unlock()
+	if n/4%resendEvery == 0 {
+		again := l.send(l.addresses[(n+1)%len(l.addresses)], http.MethodPost, "/orders", workspace, body, header)
+		l.score(workspace, "urgent", again, bytes.Equal(again.body, a.body))
 	}
 }
 
+// key asks an instance for one idempotency key.
+func (l *load) key(address, workspace string) (string, error) {
+	a := l.send(address, http.MethodPost, "/v1/keys", workspace, `{"count":1}`, nil)
+	var minted struct{ Keys []string }
+	if err := json.Unmarshal(a.body, &minted); err != nil {
+		return "", fmt.Errorf("demo: key: %w", err)
+	}
+	if len(minted.Keys) != 1 {
+		return "", &KeyError{Status: a.status}
+	}
+	return minted.Keys[0], nil
+}
+
+// KeyError reports that no key was issued.
+type KeyError struct{ Status int }
+
+func (e *KeyError) Error() string { return fmt.Sprintf("demo: no key issued, status %d", e.Status) }
+
 func (l *load) status(address, workspace string, n int) {
 	target := fmt.Sprintf("/status/%d", n)
-	a := l.send(address, http.MethodGet, target, workspace, "normal", "", nil)
+	a := l.send(address, http.MethodGet, target, workspace, "", nil)
 	l.score(workspace, "normal", a, a.echoes(http.MethodGet, target, ""))
 }
 
@@ -101,7 +134,7 @@
 	if tier == "batch" {
 		header[entry.HeaderLabels] = "work=report"
 	}
-	a := l.send(address, http.MethodPost, "/v1/chat/completions", workspace, tier, body, header)
+	a := l.send(address, http.MethodPost, "/v1/chat/completions", workspace, body, header)
 	l.score(workspace, tier, a, a.holdsTokens(tokens, stream))
 }
 
@@ -114,7 +147,7 @@
 	failed  bool // the connection broke
 }
 
-func (l *load) send(address, method, target, workspace, tier, body string, header map[string]string) answer {
+func (l *load) send(address, method, target, workspace, body string, header map[string]string) answer {
 	started := time.Now()
 	request, err := http.NewRequest(method, "http://"+address+target, strings.NewReader(body))
 	if err != nil {
