--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -2,12 +2,8 @@
 package e2e
 
 import (
-	"flag"
-	"fmt"
-	"net/http"
 	"os"
 	"testing"
-	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/command"
 	"github.com/primrosebeam/primrosebeam/internal/standin"
@@ -23,24 +19,6 @@
 	case "primrosebeam":
 		os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
 	case "standin":
-		os.Exit(serveStandin(os.Args[1:]))
+		os.Exit(standin.Main(os.Args[1:], os.Stderr))
 	}
 }
-
-func serveStandin(args []string) int {
-	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
-	kind := flags.String("kind", "model", "model or plain")
-	address := flags.String("address", "", "listening address")
-	interval := flags.Duration("interval", time.Millisecond, "time between tokens, or before a plain answer")
-	if err := flags.Parse(args); err != nil {
-		return command.ExitUsage
-	}
-	var engine standin.Engine = standin.NewModel(standin.ModelOptions{Name: *address, TokenInterval: *interval})
-	if *kind == "plain" {
-		engine = standin.NewPlain(*address, *interval)
-	}
-	if err := http.ListenAndServe(*address, standin.WithControl(engine)); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	return command.ExitFailed
-}
--- a/instance/configure.go
+++ b/instance/configure.go
@@ -25,7 +25,6 @@
 		return
 	}
 	i.exchange.SetVersion(uint64(version))
-	i.options.Logger.Info().Uint64("version", uint64(version)).Msg("version in force")
 }
 
 // configure puts a version in force: first for the scheduler, so that no request is classified by
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -96,7 +96,7 @@
 		Control:      i.operatorControl(),
 		Ready:        i.ready,
 		Dump:         i.dump(),
-		WriteMetrics: func(w io.Writer) { i.metrics.WritePrometheus(w) },
+		WriteMetrics: i.writeMetrics,
 		Logger:       i.options.Logger,
 	})
 	if err != nil {
@@ -129,6 +129,12 @@
 	return true, ""
 }
 
+// writeMetrics writes the metrics of this instance and those that belong to the whole process.
+func (i *Instance) writeMetrics(w io.Writer) {
+	i.metrics.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
 // inspectTimeout bounds the wait for the scheduler's duty in a dump.
 const inspectTimeout = 2 * time.Second
 
--- /dev/null
+++ b/internal/standin/main.go
@@ -0,0 +1,31 @@
+package standin
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// readHeaderTimeout bounds a client that sends its header slowly.
+const readHeaderTimeout = 10 * time.Second
+
+// Main serves one stand-in until it fails, and returns the exit code.
+func Main(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("standin-engine", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	kind := flags.String("kind", "model", "model or plain")
+	address := flags.String("address", "127.0.0.1:9100", "listening address")
+	interval := flags.Duration("interval", time.Millisecond, "time between tokens, or before a plain answer")
+	if err := flags.Parse(args); err != nil {
+		return 2
+	}
+	var engine Engine = NewModel(ModelOptions{Name: *address, TokenInterval: *interval})
+	if *kind == "plain" {
+		engine = NewPlain(*address, *interval)
+	}
+	server := &http.Server{Addr: *address, Handler: WithControl(engine), ReadHeaderTimeout: readHeaderTimeout}
+	fmt.Fprintln(stderr, server.ListenAndServe())
+	return 1
+}
