--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -37,6 +37,9 @@
 
 func (p port) Send(to string, kind link.Kind, body any) error {
 	h := p.hub
+	if h.duties[to] == nil {
+		return &link.UnknownPeerError{Peer: to}
+	}
 	data, err := link.Encode(body)
 	if err != nil {
 		h.t.Fatalf("%s: %v", kind, err)
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -86,7 +86,7 @@
 func (m *Membership) learnRecords(records []Record, knownBy int) {
 	for _, n := range records {
 		v := value{incarnation: n.Incarnation, sequence: n.Sequence, state: n.State}
-		if n.Name == "" || v.incarnation == 0 || v.state < StateAlive || v.state > StateLeaving {
+		if !n.valid() {
 			continue
 		}
 		if n.Name == m.self.name {
@@ -290,7 +290,7 @@
 }
 
 func (m *Membership) learnEngine(n EngineNotice, knownBy int) {
-	if n.Engine == "" {
+	if n.Engine == "" || len(n.Engine) > maxNameBytes {
 		return
 	}
 	i, known := m.engines[n.Engine]
--- a/membership/message.go
+++ b/membership/message.go
@@ -82,6 +82,22 @@
 	textBytes      = 2
 )
 
+// Bounds of what is taken from others, so that a faulty peer cannot fill the memory.
+const (
+	maxNameBytes = 256
+	maxRoles     = 8
+)
+
+func (r Record) valid() bool {
+	for _, role := range r.Roles {
+		if len(role) > maxNameBytes {
+			return false
+		}
+	}
+	named := r.Name != "" && len(r.Name) <= maxNameBytes && len(r.DataCentre) <= maxNameBytes && len(r.Roles) <= maxRoles
+	return named && r.Incarnation != 0 && r.State >= StateAlive && r.State <= StateLeaving
+}
+
 func (r Record) size() int {
 	n := recordBytes + textBytes + len(r.Name) + textBytes + len(r.DataCentre)
 	for _, role := range r.Roles {
