--- a/internal/exchange/publish.go
+++ b/internal/exchange/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/membership"
@@ -75,7 +76,7 @@
 // peerSummary is the load that another instance has reported.
 type peerSummary struct {
 	incarnation uint64
-	heard       int64 // Unix nanoseconds
+	heard       time.Time
 	engines     map[string]scheduler.PeerLoad
 }
 
@@ -88,7 +89,7 @@
 		p = &peerSummary{incarnation: from.Incarnation, engines: map[string]scheduler.PeerLoad{}}
 		e.peers[from.Name] = p
 	}
-	p.heard = e.now.UnixNano()
+	p.heard = e.now
 	for _, l := range m.Engines {
 		switch {
 		case l.InFlight <= 0 && l.Demand <= 0:
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -72,7 +72,7 @@
 
 func (e *Exchange) forgetSilentPeers() {
 	for name, p := range e.peers {
-		if e.now.Sub(time.Unix(0, p.heard)) > forgetAfter {
+		if e.now.Sub(p.heard) > forgetAfter {
 			e.forgetPeer(name)
 		}
 	}
