ledger: keep the prepared hash for MACs

Cause: a third of a claim with begin went into preparing the secret for each MAC. Change: signer keeps the hash and resets it.

--- a/ledger/key.go
+++ b/ledger/key.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"hash"
 	"io"
 	"strings"
 	"time"
@@ -73,17 +74,28 @@
 }
 
 // encode returns the key's text with its MAC.
-func (p KeyParts) encode(secret []byte) Key {
+func (p KeyParts) encode(s *signer) Key {
 	payload := p.appendPayload(nil)
 	text := keyPrefix + keyEncoding.EncodeToString(payload)
-	return Key(text + "." + keyEncoding.EncodeToString(keyMAC(secret, payload)))
+	return Key(text + "." + keyEncoding.EncodeToString(s.mac(payload)))
 }
 
-func keyMAC(secret, payload []byte) []byte {
-	hash := hmac.New(sha256.New, secret)
-	hash.Write([]byte(macContext))
-	hash.Write(payload)
-	return hash.Sum(nil)
+// signer computes MACs under one secret. It keeps the hash, because preparing the secret costs as much as the MAC.
+type signer struct {
+	hash hash.Hash
+	sum  [sha256.Size]byte
+}
+
+func newSigner(secret []byte) *signer {
+	return &signer{hash: hmac.New(sha256.New, secret)}
+}
+
+// mac returns the MAC of a payload, which is valid until the next call.
+func (s *signer) mac(payload []byte) []byte {
+	s.hash.Reset()
+	s.hash.Write([]byte(macContext))
+	s.hash.Write(payload)
+	return s.hash.Sum(s.sum[:0])
 }
 
 // appendPayload writes the length of the owner's name, the name, the same for the workspace, and then the
@@ -146,7 +158,7 @@
 		if _, err := io.ReadFull(random, parts.ID[:]); err != nil {
 			return nil, err
 		}
-		keys[i] = parts.encode(l.secret)
+		keys[i] = parts.encode(l.signer)
 	}
 	return keys, nil
 }
@@ -167,7 +179,7 @@
 		}
 		return parts, &LostError{}
 	}
-	genuine := hmac.Equal(mac, keyMAC(l.secret, payload))
+	genuine := hmac.Equal(mac, l.signer.mac(payload))
 	if !genuine || parts.Workspace != workspace {
 		return parts, &InvalidKeyError{}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -80,7 +80,7 @@
 type Ledger struct {
 	owner       string
 	incarnation uint64
-	secret      []byte
+	signer      *signer
 	epoch       uint64
 	limits      Limits
 
@@ -158,7 +158,7 @@
 	}
 	l.incarnation = identity.Incarnation
 	l.epoch = identity.Epoch
-	l.secret = identity.Secret
+	l.signer = newSigner(identity.Secret)
 	l.advance(now)
 	l.lastClaimScan = l.highest
 	return l.record(record{Boot: &bootRecord{Incarnation: l.incarnation, Epoch: l.epoch}})
--- a/ledger/scenario_test.go
+++ b/ledger/scenario_test.go
@@ -174,9 +174,9 @@
 		w.check(err)
 		parts.ID[0]++
 		var invalid *InvalidKeyError
-		w.expect(w.ask(ClaimRequest{Key: parts.encode(make([]byte, MinSecretBytes)), Workspace: "w", Holder: "a"}).err, &invalid)
+		w.expect(w.ask(ClaimRequest{Key: parts.encode(newSigner(make([]byte, MinSecretBytes))), Workspace: "w", Holder: "a"}).err, &invalid)
 		parts.Expiry = parts.Expiry.Add(time.Hour)
-		w.expect(w.ask(ClaimRequest{Key: parts.encode(nil), Workspace: "w", Holder: "a"}).err, &invalid)
+		w.expect(w.ask(ClaimRequest{Key: parts.encode(newSigner(nil)), Workspace: "w", Holder: "a"}).err, &invalid)
 	}},
 	{"a key borrowed from another workspace", skipMAC, func(w *world) {
 		k := w.mint("w")
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -271,7 +271,7 @@
 	switch e := w.ledger.keys[parts.ID]; {
 	case w.variant == skipMAC:
 		parts.Workspace = r.Workspace
-		r.Key = parts.encode(w.ledger.secret)
+		r.Key = parts.encode(w.ledger.signer)
 	case w.variant == forgetBegun:
 		delete(w.ledger.keys, parts.ID)
 	case w.variant == skipFingerprint && e != nil:
