ledger: check the counts per workspace in every simulated run

Cause: the limits rest on counts that many paths change, and only two tests looked at them. Change: after every action the counts of keys and copied bytes must equal what is stored; answers in the simulation carry copies.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -234,8 +234,9 @@
 func TestCopiesAreBounded(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(intact)
-	w.ledger.limits.ResponseBytes = 100
-	w.ledger.limits.CopyBytes = 600
+	w.limits.ResponseBytes = 100
+	w.limits.CopyBytes = 600
+	w.start()
 	answer := func(n int) func(*CompleteRequest) {
 		return func(r *CompleteRequest) {
 			r.Response = &Response{Status: 200, Header: []Field{{"A", "b"}}, Body: bytes.Repeat([]byte("x"), n)}
@@ -256,10 +257,8 @@
 		is.Equal(s.Outcome, OutcomeAnswered)
 		is.Equal(s.Response.Omitted, i < 6) // the newest copies are kept
 	}
-	limits := w.ledger.limits
 	w.compact()
 	w.crash(0)
-	w.ledger.limits = limits
 	is.Equal(w.ledger.Stats().CopyBytes, 300)
 	w.clock = w.clock.Add(testLifetime + testLinger + 2*time.Minute)
 	w.ledger.Tick(w.clock)
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -36,7 +36,7 @@
 	testBody     = "body"
 )
 
-var testLimits = Limits{Linger: testLinger, ClaimLifetime: 40 * time.Second}
+var testLimits = Limits{Linger: testLinger, ClaimLifetime: 40 * time.Second, CopyBytes: 100}
 
 // disk holds what survives a crash.
 type disk struct {
@@ -86,6 +86,7 @@
 // world is an owner with its disk, attempts on instances and a network that delays and repeats messages.
 type world struct {
 	variant  variant
+	limits   Limits
 	ledger   *Ledger
 	disk     disk
 	clock    time.Time
@@ -100,7 +101,7 @@
 }
 
 func newWorld(v variant) *world {
-	w := &world{variant: v, clock: time.UnixMilli(1_800_000_000_000)}
+	w := &world{variant: v, limits: testLimits, clock: time.UnixMilli(1_800_000_000_000)}
 	w.replaceDisk()
 	w.start()
 	return w
@@ -134,7 +135,7 @@
 
 // start restarts the owner from its disk.
 func (w *world) start() {
-	l, err := New("owner", testLimits)
+	l, err := New("owner", w.limits)
 	w.check(err)
 	if w.disk.snapshot != nil {
 		w.check(l.Restore(w.disk.snapshot))
@@ -226,7 +227,11 @@
 }
 
 func (w *world) complete(a *attempt, o Outcome) {
-	w.send(a, CompleteRequest{Key: a.key.key, Workspace: "w", Fence: a.fence, Holder: a.holder, Outcome: o})
+	r := CompleteRequest{Key: a.key.key, Workspace: "w", Fence: a.fence, Holder: a.holder, Outcome: o}
+	if o == OutcomeAnswered {
+		r.Response = &Response{Status: 200, Body: make([]byte, 30)}
+	}
+	w.send(a, r)
 }
 
 // deliver hands a message to the owner. Answers that depend on a record wait for the sync.
@@ -273,7 +278,7 @@
 		parts.Workspace = r.Workspace
 		r.Key = parts.encode(w.ledger.signer)
 	case w.variant == forgetBegun:
-		delete(w.ledger.keys, parts.ID)
+		w.ledger.dropEntry(parts.ID)
 	case w.variant == skipFingerprint && e != nil:
 		r.Fingerprint = e.fingerprint
 	}
@@ -414,6 +419,19 @@
 	case 9:
 		w.sync()
 	}
+	w.checkCounts()
+}
+
+// checkCounts compares the counts per workspace, on which the limits rest, with what is stored.
+func (w *world) checkCounts() {
+	keys, copies := 0, 0
+	for _, each := range w.ledger.workspaces {
+		keys += each.keys
+		copies += each.copyBytes
+	}
+	if keys != len(w.ledger.claims)+len(w.ledger.keys) || copies != w.ledger.copyBytes {
+		w.check(fmt.Errorf("%d keys and %d bytes counted, %+v stored", keys, copies, w.ledger.Stats()))
+	}
 }
 
 func (w *world) deliverAny(choose func(int) int) {
