consensus, replica: bound commands and the log in bytes, check removals

A wrong removal could leave no quorum. Change: limits on one command and on all uncommitted ones, entries kept in memory bounded in bytes, and a check that the remaining voters answer. Measured: go test -race ./consensus ./internal/replica passes, 11 s and 15 s.

--- a/consensus/commit.go
+++ b/consensus/commit.go
@@ -39,6 +39,9 @@
 	if index <= n.log.commit || !n.log.matches(index, n.hard.Term) {
 		return false
 	}
+	for i := max(n.log.commit+1, n.termStart); i <= index; i++ {
+		n.pendingBytes -= len(n.log.entries[i-n.log.base-1].Data)
+	}
 	n.commitUpTo(index)
 	n.releaseReads()
 	return true
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -143,6 +143,7 @@
 	n.pendingChange = n.log.configuration().index
 	n.progress = make(map[ID]*progress)
 	n.termStart = n.log.last() + 1
+	n.pendingBytes = 0
 	n.syncProgress()
 	n.appendOwn(Entry{Kind: EntryEmpty})
 }
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -64,6 +64,13 @@
 	return fmt.Sprintf("consensus: %d %s wait already", e.Limit, e.What)
 }
 
+// TooLargeError reports a command beyond the bound on one entry.
+type TooLargeError struct{ Bytes, Limit int }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("consensus: a command of %d bytes, the limit is %d", e.Bytes, e.Limit)
+}
+
 // ChangePendingError reports a membership change before the previous one, or the first entry of the
 // leader's term, was committed.
 type ChangePendingError struct{ Index uint64 } // entry that must be committed first
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -100,6 +100,9 @@
 		if next.IsEmpty() {
 			return invalid("no voter would remain")
 		}
+		if current.IsVoter(change.ID) && n.heardVoters(next) < next.Quorum() {
+			return invalid("too few of the remaining voters answer")
+		}
 	default:
 		return invalid("unknown kind of change")
 	}
@@ -126,15 +129,21 @@
 	return n.ticks-p.contactTick < uint64(n.options.ElectionTicks)
 }
 
-// silentVoters counts the voters that this leader has not heard recently.
-func (n *Node) silentVoters() int {
-	silent := 0
-	for _, id := range n.log.configuration().configuration.Voters {
-		if p := n.progress[id]; p != nil && !n.heard(p) {
-			silent++
+// heardVoters counts the voters of a configuration that this leader has heard recently, and itself.
+func (n *Node) heardVoters(configuration Configuration) int {
+	heard := 0
+	for _, id := range configuration.Voters {
+		if p := n.progress[id]; id == n.self || p != nil && n.heard(p) {
+			heard++
 		}
 	}
-	return silent
+	return heard
+}
+
+// silentVoters counts the voters that this leader has not heard recently.
+func (n *Node) silentVoters() int {
+	current := n.log.configuration().configuration
+	return len(current.Voters) - n.heardVoters(current)
 }
 
 // leaveWhenRemoved ends the leadership of one that is no voter, once an entry of its term and its
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -32,6 +32,8 @@
 	DefaultMaxMessageBytes = 256 << 10
 	DefaultMaxInflight     = 64
 	DefaultMaxUncommitted  = 4096
+	DefaultMaxEntryBytes   = 1 << 20
+	DefaultMaxPendingBytes = 8 << 20 // a quarter of the memory target of an idle instance
 	DefaultMaxReads        = 4096
 )
 
@@ -49,6 +51,8 @@
 	MaxMessageBytes int      // of entries in one append; a larger entry travels alone
 	MaxInflight     int      // unanswered appends per follower
 	MaxUncommitted  int      // entries
+	MaxEntryBytes   int      // of one command; the driver's files and frames must take it
+	MaxPendingBytes int      // of all uncommitted commands
 	MaxReads        int      // reads that wait for confirmation
 	Random          *rand.Rand
 	Storage         Storage
@@ -60,6 +64,8 @@
 	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&o.MaxInflight, DefaultMaxInflight)
 	setDefault(&o.MaxUncommitted, DefaultMaxUncommitted)
+	setDefault(&o.MaxEntryBytes, DefaultMaxEntryBytes)
+	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&o.MaxReads, DefaultMaxReads)
 }
 
@@ -95,6 +101,7 @@
 	pendingChange    uint64 // index of the newest membership entry known to this leader
 	heartbeatCommit  uint64 // commit index at the last heartbeat; see caughtUp
 	termStart        uint64 // index of the first entry of this leader's term
+	pendingBytes     int    // of this leader's uncommitted commands
 
 	round     uint64 // read round, part of every heartbeat
 	readDirty bool   // reads were accepted since the last round started
@@ -155,14 +162,21 @@
 }
 
 // Propose appends a command to the leader's log; it is at LastIndex then. It returns
-// *NotLeaderError or *OverloadedError.
+// *NotLeaderError, *TooLargeError or *OverloadedError.
 func (n *Node) Propose(data []byte) error {
 	if n.role != Leader {
 		return &NotLeaderError{Leader: n.leader}
 	}
+	if len(data) > n.options.MaxEntryBytes {
+		return &TooLargeError{Bytes: len(data), Limit: n.options.MaxEntryBytes}
+	}
 	if n.log.last()-n.log.commit >= uint64(n.options.MaxUncommitted) {
 		return &OverloadedError{What: "uncommitted entries", Limit: n.options.MaxUncommitted}
 	}
+	if n.pendingBytes > 0 && n.pendingBytes+len(data) > n.options.MaxPendingBytes {
+		return &OverloadedError{What: "uncommitted bytes", Limit: n.options.MaxPendingBytes}
+	}
+	n.pendingBytes += len(data)
 	n.appendOwn(Entry{Kind: EntryCommand, Data: data})
 	return nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -270,12 +270,26 @@
 		return err
 	}
 	r.instruments.compactions.Inc()
-	first := r.node.Status().First
-	keep := uint64(r.options.KeepEntries)
-	if snapshot.Index < first+keep {
-		return nil
+	return r.node.Compact(r.keepAfter(snapshot.Index))
+}
+
+// keepAfter returns the index up to which a snapshot lets the node drop its entries. Some are kept
+// in memory for followers that lag a little; KeepEntries and a quarter of CompactBytes bound them.
+func (r *Replica) keepAfter(covered uint64) uint64 {
+	low := r.node.Status().First - 1
+	if keep := uint64(r.options.KeepEntries); covered > low+keep {
+		low = covered - keep
+	}
+	entries := r.node.EntriesAfter(low)
+	entries = entries[:covered-low]
+	size := 0
+	for i := len(entries) - 1; i >= 0; i-- {
+		size += len(entries[i].Data)
+		if size > r.options.CompactBytes/4 {
+			return entries[i].Index
+		}
 	}
-	return r.node.Compact(snapshot.Index - keep)
+	return low
 }
 
 // observeLeader notices a change of leadership before its Ready is carried out.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -255,3 +255,26 @@
 	var identity *IdentityError
 	is.True(asError(err, &identity))
 }
+
+// Guards against a log in memory that is bounded in entries but not in bytes.
+func TestLogIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	const limit = 64 << 10
+	c := newCluster(t, func(o *Options) { o.CompactBytes = limit }, "a")
+	c.startAll()
+	for range 40 {
+		c.commit(string(make([]byte, 10<<10)))
+	}
+	c.converge()
+	r := c.members["a"].replica
+	is.NoErr(c.stop("a"))
+	size := 0
+	for _, e := range r.node.EntriesAfter(0) {
+		size += len(e.Data)
+	}
+	is.True(size <= limit+limit/4+(10<<10))
+	is.True(r.instruments.compactions.Get() >= 4)
+	c.start("a")
+	c.converge()
+	is.Equal(len(c.members["a"].machine.list()), 42)
+}
