consensus, replica: take a higher incarnation after a stepped-back clock

Cause: a replica that lost its disk while the wall clock had stepped back chose an incarnation below the known one, and was ignored for ever; as founder it went on asking for pledges. Change: such a request is answered with the known incarnation, and the replica starts its node again under the next higher one.

--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -60,6 +60,9 @@
 
 // stepFound answers a founder. The answer leaves after the pledge was synced.
 func (n *Node) stepFound(m Message) {
+	if n.answerSuperseded(m.From) {
+		return
+	}
 	own := n.hard.Log
 	free := own.IsZero() || own.Instance == m.From.Instance && own.Incarnation <= m.From.Incarnation
 	if n.hasLog() || !free {
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -70,7 +70,7 @@
 	KindSnapshot // Snapshot replaces the receiver's log; answered by KindAppendReply
 	KindFound    // the founder asks an initial voter to belong to its log
 	KindPledge   // answer to KindFound; Reject means that a log exists already
-	KindJoin     // a replica without a log, or with a new incarnation, asks to be added
+	KindJoin     // a replica that hears no leader asks to be added; Reject answers one whose instance is known with the newer incarnation Index
 )
 
 var kindNames = [...]string{"", "prevote", "prevote-reply", "vote", "vote-reply", "append", "append-reply",
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -110,6 +110,7 @@
 	aborted   []uint64
 
 	pledges         map[string]ID // founder only
+	superseded      uint64        // see Superseded
 	pendingSnapshot *Snapshot     // received, not yet handed out
 	outbox          []Message
 }
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -12,6 +12,31 @@
 // Each step is an ordinary change of at most one voter. A new leader continues from the
 // configuration in its log, which tells which step is next.
 
+// Superseded returns the incarnation of this instance that the log knows, when it is newer than that
+// of this replica and this replica has no log; otherwise 0. A disk was lost and the new incarnation
+// was chosen too low, which happens when the wall clock stepped back. The driver must then start the
+// node again under a higher incarnation; nobody counts the present one.
+func (n *Node) Superseded() uint64 {
+	if n.hasLog() || n.superseded <= n.self.Incarnation {
+		return 0
+	}
+	return n.superseded
+}
+
+// answerSuperseded tells a replica without a log that a newer incarnation of its instance is known,
+// as a member or as the founder that this replica pledged to. It reports whether that is so.
+func (n *Node) answerSuperseded(from ID) bool {
+	newest, _ := n.log.configuration().configuration.Newest(from.Instance)
+	if own := n.hard.Log; own.Instance == from.Instance && own.Incarnation > newest.Incarnation {
+		newest = own
+	}
+	if newest.Incarnation <= from.Incarnation {
+		return false
+	}
+	n.send(Message{Kind: KindJoin, To: from, Reject: true, Index: newest.Incarnation})
+	return true
+}
+
 // askToJoin asks every replica that may know the log to be added to it. A replica that finds itself
 // in its own log asks as well, when it hears no leader: the entry that added it may be lost.
 func (n *Node) askToJoin() {
@@ -22,6 +47,13 @@
 
 // stepJoin starts the repair of an instance whose old identity is a member.
 func (n *Node) stepJoin(m Message) error {
+	if m.Reject {
+		n.superseded = max(n.superseded, m.Index)
+		return nil
+	}
+	if n.answerSuperseded(m.From) {
+		return nil
+	}
 	n.releasePledge(m)
 	n.returnPledge(m)
 	if n.role != Leader {
--- a/consensus/validate.go
+++ b/consensus/validate.go
@@ -92,15 +92,13 @@
 func (n *Node) checkSender(m *Message) error {
 	configuration := n.log.configuration().configuration
 	newest, known := configuration.Newest(m.From.Instance)
-	if known && newest.Incarnation > m.From.Incarnation {
+	asks := m.Kind == KindJoin || m.Kind == KindFound // Answered with the newer incarnation.
+	if known && newest.Incarnation > m.From.Incarnation && !asks {
 		return &StaleIdentityError{From: m.From, Newest: newest}
 	}
 	unknown := &UnknownSenderError{From: m.From, Kind: m.Kind}
 	switch m.Kind {
 	case KindFound:
-		if own := n.hard.Log; own.Instance == m.From.Instance && own.Incarnation > m.From.Incarnation {
-			return &StaleIdentityError{From: m.From, Newest: own}
-		}
 		if !known && !slices.Contains(n.options.Founders, m.From.Instance) {
 			return unknown
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -79,6 +79,29 @@
 		}
 		r.appliedIndex = snapshot.Index
 	}
+	if err := r.startNode(); err != nil {
+		return err
+	}
+	r.publish()
+	r.instruments = newInstruments(r.options.Metrics, r.options.Instance, r.state.Load)
+	return nil
+}
+
+// renew starts the node again under a higher incarnation; it has no log at this time.
+func (r *Replica) renew(incarnation uint64) {
+	err := r.store.renew(incarnation)
+	if err == nil {
+		err = r.startNode()
+	}
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.logger = r.options.Logger.With().Str("duty", "replica").Stringer("replica", r.store.identity).Logger()
+	r.logger.Warn().Msg("the log knows a newer incarnation of this instance; a higher one was taken")
+}
+
+func (r *Replica) startNode() error {
 	node, err := consensus.New(consensus.Options{
 		Self: r.store.identity, Founders: r.options.Voters, Peers: r.options.Peers,
 		ElectionTicks: r.options.ElectionTicks, HeartbeatTicks: r.options.HeartbeatTicks,
@@ -88,8 +111,6 @@
 		return err
 	}
 	r.node = node
-	r.publish()
-	r.instruments = newInstruments(r.options.Metrics, r.options.Instance, r.state.Load)
 	return nil
 }
 
@@ -120,6 +141,9 @@
 	r.takeMessages()
 	r.takeCalls()
 	r.advance()
+	if known := r.node.Superseded(); known != 0 && r.failure == nil {
+		r.renew(known + 1)
+	}
 	r.publish()
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -278,3 +278,28 @@
 	c.converge()
 	is.Equal(len(c.members["a"].machine.list()), 42)
 }
+
+// Guards against a replica that is ignored for ever because the wall clock, from which it took its
+// incarnation after the loss of its disk, had stepped back.
+func TestIncarnationFromSteppedClock(t *testing.T) {
+	is := is.New(t)
+	clock := uint64(1000)
+	c := newCluster(t, func(o *Options) { o.NewIncarnation = func() uint64 { return clock } }, "a", "b", "c")
+	c.startAll()
+	c.commit("first")
+	for _, name := range []string{"a", "c"} {
+		is.NoErr(c.stop(name))
+		c.loseDisk(name)
+		clock = 5
+		m := c.start(name)
+		c.await("a higher incarnation votes", func() bool {
+			id := m.replica.Identity()
+			configuration := m.replica.State().Node.Configuration
+			return id.Incarnation == 1001 && configuration.IsVoter(id) && len(configuration.Voters) == 3
+		})
+		is.NoErr(c.stop(name))
+		m = c.start(name) // The new identity is durable.
+		is.Equal(m.replica.Identity().Incarnation, uint64(1001))
+		c.converge()
+	}
+}
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -30,7 +30,7 @@
 }
 
 // Identity returns the identity on this replica's disk, which an operator needs for adding it.
-func (r *Replica) Identity() consensus.ID { return r.store.identity }
+func (r *Replica) Identity() consensus.ID { return r.state.Load().Node.Self }
 
 func (r *Replica) publish() {
 	s := &State{
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -13,7 +13,7 @@
 // record is one journal record. The records of one Ready are synced together. Entries replace
 // everything stored from the first one's index on, so a conflicting suffix needs no truncation.
 type record struct {
-	Identity *consensus.ID        `cbor:"1,keyasint,omitempty"` // only in the first record of a disk
+	Identity *consensus.ID        `cbor:"1,keyasint,omitempty"` // in the first record of a disk, and when it is renewed
 	Hard     *consensus.HardState `cbor:"2,keyasint,omitempty"`
 	Entries  []consensus.Entry    `cbor:"3,keyasint,omitempty"`
 }
@@ -231,4 +231,15 @@
 	return s.journal.SaveSnapshot(s.journal.Last(), data)
 }
 
+// renew gives a disk without a log a higher incarnation. The hard state starts anew: its promises were
+// made under the identity that is given up.
+func (s *store) renew(incarnation uint64) error {
+	s.identity.Incarnation = incarnation
+	s.hard = consensus.HardState{}
+	if err := s.write(record{Identity: &s.identity, Hard: &s.hard}); err != nil {
+		return err
+	}
+	return s.journal.Sync()
+}
+
 func (s *store) close() error { return s.journal.Close() }
