--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -79,6 +79,29 @@
 		}
 		r.appliedIndex = snapshot.Index
 	}
+	if err := r.startNode(); err != nil {
+		return err
+	}
+	r.publish()
+	r.instruments = newInstruments(r.options.Metrics, r.options.Instance, r.state.Load)
+	return nil
+}
+
+// renew starts the node again under a higher incarnation; it has no log at this time.
+func (r *Replica) renew(incarnation uint64) {
+	err := r.store.renew(incarnation)
+	if err == nil {
+		err = r.startNode()
+	}
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.logger = r.options.Logger.With().Str("duty", "replica").Stringer("replica", r.store.identity).Logger()
+	r.logger.Warn().Msg("the log knows a newer incarnation of this instance; a higher one was taken")
+}
+
+func (r *Replica) startNode() error {
 	node, err := consensus.New(consensus.Options{
 		Self: r.store.identity, Founders: r.options.Voters, Peers: r.options.Peers,
 		ElectionTicks: r.options.ElectionTicks, HeartbeatTicks: r.options.HeartbeatTicks,
@@ -88,8 +111,6 @@
 		return err
 	}
 	r.node = node
-	r.publish()
-	r.instruments = newInstruments(r.options.Metrics, r.options.Instance, r.state.Load)
 	return nil
 }
 
@@ -120,6 +141,9 @@
 	r.takeMessages()
 	r.takeCalls()
 	r.advance()
+	if known := r.node.Superseded(); known != 0 && r.failure == nil {
+		r.renew(known + 1)
+	}
 	r.publish()
 }
 
@@ -270,12 +294,26 @@
 		return err
 	}
 	r.instruments.compactions.Inc()
-	first := r.node.Status().First
-	keep := uint64(r.options.KeepEntries)
-	if snapshot.Index < first+keep {
-		return nil
+	return r.node.Compact(r.keepAfter(snapshot.Index))
+}
+
+// keepAfter returns the index up to which a snapshot lets the node drop its entries. Some are kept
+// in memory for followers that lag a little; KeepEntries and a quarter of CompactBytes bound them.
+func (r *Replica) keepAfter(covered uint64) uint64 {
+	low := r.node.Status().First - 1
+	if keep := uint64(r.options.KeepEntries); covered > low+keep {
+		low = covered - keep
+	}
+	entries := r.node.EntriesAfter(low)
+	entries = entries[:covered-low]
+	size := 0
+	for i := len(entries) - 1; i >= 0; i-- {
+		size += len(entries[i].Data)
+		if size > r.options.CompactBytes/4 {
+			return entries[i].Index
+		}
 	}
-	return r.node.Compact(snapshot.Index - keep)
+	return low
 }
 
 // observeLeader notices a change of leadership before its Ready is carried out.
