Share what instances learn of a limit, and choose among reserves too

Cause: one of nine instances sees few answers of an engine; its limit followed noise down to 2 while the engine ran 12 requests well, and with a share of 0 it measured nothing more. Each instance had a reserve of less than one request. The choice of engine looked at open engines only, so that a request went to an open engine although the one with its prefix had a place in the reserve. Change: PeerLoad.Limit carries the learned limit and each instance approaches the mean weighted by requests in flight; an adjustment needs 12 samples or 3 s; the reserve belongs to all instances together; the choice includes reserves; objectiveMargin 0.68, since more prefill is saved than the margin of 0.7 cost.

--- a/engine/limit.go
+++ b/engine/limit.go
@@ -7,13 +7,16 @@
 	initialPlainLimit = 16  // requests on a plain engine until its speed is known
 	maximumLimit      = 512 // requests; bounds the growth without objectives
 	adjustEvery       = 500 * time.Millisecond
+	adjustSamples     = 12 // latencies that an adjustment needs: one of nine instances sees few, and each is noisy
+	adjustAtLatest    = 3 * time.Second
 	decreaseFactor    = 0.9
 	increaseFactor    = 0.06
-	objectiveMargin   = 0.7   // the mean is held at this part of the objective, so that the tail meets it
+	objectiveMargin   = 0.68  // the mean is held at this part of the objective, so that the tail meets it
 	kneeFactor        = 1.5   // latency relative to an empty engine that is accepted beyond the objective
 	plainKneeFactor   = 2     // the same for engines without an objective
 	missShare         = 0.1   // share of first tokens beyond their objective that lowers the limit
 	emptyDrift        = 0.005 // by which the latency of an empty engine may rise at each adjustment
+	approachWeight    = 0.1   // part of the way to the mean of all instances at each refresh
 	usedShare         = 0.75  // a limit of which less is used is not raised: there is no evidence for it
 )
 
@@ -25,6 +28,7 @@
 	objective float64 // seconds between tokens, or per answer of a plain engine; 0 means none
 	empty     float64 // latency of an almost empty engine, in seconds
 	adjusted  time.Time
+	samples   int     // latencies since adjusted
 	peak      float64 // largest occupancy since adjusted
 	measured  int     // first tokens since adjusted
 	missed    int     // of these, beyond their objective
@@ -65,9 +69,11 @@
 
 func (l *limit) adjust(now time.Time, occupancy float64, latency *curve) {
 	l.peak = max(l.peak, occupancy)
-	if now.Sub(l.adjusted) < adjustEvery {
+	waited := now.Sub(l.adjusted)
+	if waited < adjustEvery || l.samples < adjustSamples && waited < adjustAtLatest {
 		return
 	}
+	l.samples = 0
 	l.observeEmpty(latency)
 	late := l.measured > 0 && float64(l.missed) > missShare*float64(l.measured)
 	switch {
@@ -81,6 +87,13 @@
 	l.peak, l.measured, l.missed = 0, 0, 0
 }
 
+// approach moves the limit towards the mean of all instances. Without it an instance whose share of
+// an engine has become 0 measures nothing and keeps a wrong limit for ever.
+func (l *limit) approach(mean float64) {
+	l.value += approachWeight * (mean - l.value)
+	l.value = min(max(l.value, 1), l.hard)
+}
+
 // observeEmpty keeps the lowest latency seen. It rises slowly, so that an engine that has become
 // slower for good is not held at a limit of 1 for ever. The fitted curve alone does not do: at a
 // steady occupancy it has no slope, and the latency would be compared with itself.
--- a/engine/share.go
+++ b/engine/share.go
@@ -14,10 +14,12 @@
 // Sending them elsewhere would cost more engine time than they add here.
 const cachedReserve = 0.25
 
-// refreshReserve recomputes the reserve; the hard limit holds for all requests.
-func (s *share) refreshReserve(hard, dither, peerInFlight float64) {
-	spare := hard - peerInFlight - float64(s.allowed)
-	s.reserve = int(max(min(float64(s.allowed)*cachedReserve+dither, spare), 0))
+// refreshReserve recomputes the reserve. It belongs to all instances together, since a part of it
+// for each of many would hold no request; the hard limit holds for all requests.
+func (s *share) refreshReserve(whole, hard, peerInFlight float64) {
+	most := whole * cachedReserve
+	spare := min(whole+most, hard) - peerInFlight - float64(s.allowed)
+	s.reserve = int(max(min(math.Ceil(most), spare), 0))
 }
 
 // refresh divides the limit in proportion to demand. While total demand is below the limit the
--- a/engine/view.go
+++ b/engine/view.go
@@ -130,6 +130,7 @@
 	}
 	v.speed.decoded(now, tokens, now.Sub(f.lastToken).Seconds(), v.Occupancy(now))
 	f.lastToken = now
+	v.limit.samples++
 	v.adjust(now)
 }
 
@@ -155,6 +156,7 @@
 		if v.options.Plain {
 			took := now.Sub(f.started) - 2*v.options.Distance
 			v.speed.answered(took.Seconds(), f.occupancy)
+			v.limit.samples++
 		}
 	case Failed:
 		v.Health.Failure(now)
@@ -212,12 +214,24 @@
 	v.load.report(now, at, float64(running+waiting))
 }
 
-// Peers records what the other instances have on the engine and want from it. Demands are requests
-// per engine, in flight and waiting together.
-func (v *View) Peers(now time.Time, inFlight, demand float64, known bool) {
-	v.load.peerInFlight = inFlight
-	v.share.peers = demand
-	v.share.known = known
+// PeerView is what the other instances together have on an engine and say of it.
+type PeerView struct {
+	Known    bool    // other instances have been heard of
+	InFlight float64 // requests in flight
+	Demand   float64 // requests in flight and this engine's part of those that wait
+	Limits   float64 // sum of their limits, each weighted with its requests in flight
+}
+
+// Peers records what the other instances have on the engine. Limits are averaged by requests in
+// flight, since these are what an instance measures the engine with.
+func (v *View) Peers(p PeerView) {
+	v.load.peerInFlight = p.InFlight
+	v.share.peers = p.Demand
+	v.share.known = p.Known
+	if p.InFlight > 0 {
+		own := float64(v.load.own)
+		v.limit.approach((p.Limits + own*v.limit.value) / (p.InFlight + own))
+	}
 }
 
 // Refresh recomputes how many requests this instance may have in flight. demand is this instance's
@@ -225,7 +239,7 @@
 func (v *View) Refresh(now time.Time, demand float64) {
 	whole := v.limit.value * v.Health.ramp(now)
 	v.share.refresh(whole, demand, v.options.Dither, v.load.peerInFlight)
-	v.share.refreshReserve(v.limit.hard, v.options.Dither, v.load.peerInFlight)
+	v.share.refreshReserve(whole, v.limit.hard, v.load.peerInFlight)
 }
 
 // Allowed returns how many requests this instance may have in flight on the engine.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -37,6 +37,7 @@
 	e.sequence = s.sequence
 	s.requests[r.ID] = e
 	s.enqueue(now, e, sv, workspace)
+	e.flow.group.arriving.add(now, e.cost)
 	if s.hopeless(now, e) {
 		s.reject(e, RejectDeadline)
 		return
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if e.list == &e.flow.onTime && !e.startBy.IsZero() && !e.startBy.After(now) {
-			s.turnLate(e)
+			s.turnLate(now, e)
 			continue
 		}
 		// The estimate of the fastest answer has changed since the entry was pushed.
@@ -78,7 +78,31 @@
 	}
 }
 
-func (s *Scheduler) turnLate(e *entry) {
+// turnLate makes a request wait behind those that can meet their objective, or gives up on it when
+// these leave no engine time before its deadline.
+func (s *Scheduler) turnLate(now time.Time, e *entry) {
+	if e.hopelessLate(now) {
+		s.reject(e, RejectDeadline)
+		return
+	}
 	s.dequeue(e)
 	s.wait(e, &e.flow.late)
 }
+
+// hopelessLate reports whether a late request cannot be expected to start in time: it is served
+// with what the arriving work of its own and higher tiers leaves over.
+func (e *entry) hopelessLate(now time.Time) bool {
+	last, sv := e.lastStart(), e.service
+	if last.IsZero() || sv.places == 0 {
+		return false
+	}
+	arriving := 0.0
+	for _, g := range sv.groups[:e.tier+1] {
+		arriving += g.arriving.perSecond(now)
+	}
+	left := 1 - sv.drain(arriving)
+	if left <= 0 {
+		return true
+	}
+	return sv.drain(sv.work(e.tier))/left > last.Sub(now).Seconds()
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -69,15 +69,15 @@
 // refused the request.
 func (s *Scheduler) choose(now time.Time, sv *service, e *entry) *server {
 	c := choice{scheduler: s, now: now, entry: e}
-	if len(sv.open) <= evaluateAll {
-		for _, m := range sv.open {
-			c.consider(m)
+	if len(sv.members) <= evaluateAll {
+		for _, m := range sv.members {
+			c.considerHome(m)
 		}
 		return c.best
 	}
 	for _, number := range s.homes.find(e.request.Prefix) {
-		if number > 0 && int(number) <= len(s.members) && s.members[number-1].openFor(sv) {
-			c.consider(s.members[number-1])
+		if number > 0 && s.members[number-1].serves(sv) {
+			c.considerHome(s.members[number-1])
 		}
 	}
 	for range sampled {
@@ -92,15 +92,6 @@
 	return c.best
 }
 
-func (m *server) openFor(sv *service) bool {
-	for i, candidate := range m.services {
-		if candidate == sv {
-			return m.openAt[i] >= 0
-		}
-	}
-	return false
-}
-
 // choice collects the best engine for an entry.
 type choice struct {
 	scheduler *Scheduler
@@ -110,6 +101,21 @@
 	expected  float64
 }
 
+// considerHome considers an engine that is open, or has a place in its reserve and the prefix.
+func (c *choice) considerHome(m *server) {
+	if !m.accepts() {
+		return
+	}
+	if m.view.Room() {
+		c.consider(m)
+		return
+	}
+	prompt := float64(c.entry.request.PromptTokens)
+	if prompt > 0 && m.view.RoomForCached() && cachedTokens(m, c.entry) > reservePart*prompt {
+		c.consider(m)
+	}
+}
+
 func (c *choice) consider(m *server) {
 	e := c.entry
 	if e.refusals > 0 && e.refusedByServer(m) {
--- a/scheduler/flow.go
+++ b/scheduler/flow.go
@@ -21,14 +21,15 @@
 // group holds the flows of one tier of one service. It serves them by start-time fair queueing in
 // units of estimated engine time.
 type group struct {
-	tier    int
-	flows   []*flow // by workspace; nil until used
-	active  []*flow // flows with waiting requests
-	retries entryList
-	virtual float64 // start tag of the request that was dispatched last
-	waiting int
-	work    float64
-	credit  float64 // engine time that minimumShare still grants, in seconds
+	tier     int
+	flows    []*flow // by workspace; nil until used
+	active   []*flow // flows with waiting requests
+	retries  entryList
+	virtual  float64 // start tag of the request that was dispatched last
+	waiting  int
+	work     float64
+	arriving rate    // estimated engine time of arriving requests
+	credit   float64 // engine time that minimumShare still grants, in seconds
 }
 
 func (g *group) flow(workspace int, weight float64) *flow {
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -12,7 +12,11 @@
 }
 
 // peerSums is the load of all other instances on one engine.
-type peerSums struct{ inFlight, demand float64 }
+type peerSums struct {
+	inFlight float64
+	demand   float64
+	limits   float64 // weighted with the requests in flight
+}
 
 // peerSummary replaces what is known of another instance. Engines that a summary does not name
 // have no load from that instance. Shares change with the next tick.
@@ -39,6 +43,7 @@
 		if m := s.servers[name]; m != nil {
 			m.peers.inFlight = max(m.peers.inFlight+sign*float64(l.InFlight), 0)
 			m.peers.demand = max(m.peers.demand+sign*float64(l.Demand), 0)
+			m.peers.limits = max(m.peers.limits+sign*l.Limit*float64(l.InFlight), 0)
 		}
 	}
 }
@@ -71,6 +76,7 @@
 			l.Demand += sv.waiting
 		}
 		if l != (PeerLoad{}) {
+			l.Limit = m.view.Limit()
 			summary.Engines[m.config.Name] = l
 		}
 	}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -16,22 +16,36 @@
 	if !e.flow.group.inTurn(e.flow, e) {
 		return
 	}
-	var best *server
-	most := reservePart * float64(e.request.PromptTokens)
-	for _, number := range s.homes.find(e.request.Prefix) {
-		if number == 0 {
-			continue
+	c := reserveChoice{entry: e, most: reservePart * float64(e.request.PromptTokens)}
+	if len(e.service.members) <= evaluateAll {
+		for _, m := range e.service.members {
+			c.consider(m)
 		}
-		m := s.members[number-1]
-		if !m.serves(e.service) || !m.accepts() || !m.view.RoomForCached() {
-			continue
-		}
-		if cached := cachedTokens(m, e); cached > most {
-			best, most = m, cached
+	} else {
+		for _, number := range s.homes.find(e.request.Prefix) {
+			if number > 0 && s.members[number-1].serves(e.service) {
+				c.consider(s.members[number-1])
+			}
 		}
 	}
-	if best != nil {
-		s.send(now, e, best)
+	if c.best != nil {
+		s.send(now, e, c.best)
+	}
+}
+
+// reserveChoice collects the engine with most of a prompt among those with a place in the reserve.
+type reserveChoice struct {
+	entry *entry
+	best  *server
+	most  float64 // tokens
+}
+
+func (c *reserveChoice) consider(m *server) {
+	if !m.accepts() || !m.view.RoomForCached() {
+		return
+	}
+	if cached := cachedTokens(m, c.entry); cached > c.most {
+		c.best, c.most = m, cached
 	}
 }
 
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -32,7 +32,9 @@
 		spread = max(spread, sv.usable)
 	}
 	peerDemand := m.peers.inFlight + m.peers.demand/float64(spread)
-	m.view.Peers(now, m.peers.inFlight, peerDemand, len(s.peers) > 0)
+	m.view.Peers(engine.PeerView{
+		Known: len(s.peers) > 0, InFlight: m.peers.inFlight, Demand: peerDemand, Limits: m.peers.limits,
+	})
 	m.view.Refresh(now, demand)
 	m.updateOpen()
 }
