--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,157 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/engine"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a lagging list that revives an engine, and against a drain before the first report
+// that is forgotten when the incarnation becomes known.
+func TestLifecycle(t *testing.T) {
+	is := is.New(t)
+	var l engine.Lifecycle
+	is.True(l.Accepts())
+	l.Leave()
+	is.True(!l.Observe(3, false, true))
+	is.True(!l.Accepts()) // the drain referred to this incarnation
+	is.True(l.Observe(4, false, true))
+	is.True(l.Accepts())
+	l.Observe(4, true, true)
+	l.Observe(4, false, true)
+	is.True(!l.Accepts())
+	l.Observe(3, false, true)
+	is.Equal(l.Incarnation, uint64(4))
+	is.True(l.Observe(5, false, false))
+	is.True(!l.Accepts()) // unreachable
+	l.Observe(5, false, true)
+	is.True(l.Accepts())
+}
+
+// Guards against trusting an index after lost events, and against an index that outgrows its bound.
+func TestPrefix(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{PrefixCapacity: 64})
+	p := &v.Prefix
+	chain := []uint64{11, 12, 13, 14}
+	p.Add(chain)
+	is.Equal(p.Match(chain), 4)
+	is.Equal(p.Match([]uint64{11, 12, 99}), 2)
+	p.Remove([]uint64{13})
+	is.Equal(p.Match(chain), 2)
+	p.Events(1, 1)
+	is.Equal(p.Confidence(), 1.0)
+	p.Events(5, 1)
+	low := p.Confidence()
+	is.True(low < 0.6)
+	for i := range 200 {
+		p.Events(uint64(6+i), 1)
+	}
+	is.True(p.Confidence() > 0.9)
+	for i := range uint64(1000) {
+		p.Add([]uint64{1000 + i*7919})
+	}
+	is.True(p.Blocks() <= 64)
+	p.Clear()
+	is.Equal(p.Match(chain), 0)
+}
+
+// run sends answers with the given time between tokens through a view that is kept full.
+func run(v *engine.View, now time.Time, seconds int, perToken time.Duration) time.Time {
+	flights := make([]engine.Flight, 64)
+	for i := range flights {
+		v.Start(now, &flights[i])
+		v.FirstToken(now, &flights[i])
+	}
+	for range seconds * int(time.Second/(10*perToken)) {
+		now = now.Add(10 * perToken)
+		for i := range flights {
+			v.Progress(now, &flights[i], 10)
+		}
+	}
+	for i := range flights {
+		v.End(now, &flights[i], engine.Succeeded)
+	}
+	return now
+}
+
+// Guards against a limit that stays high while the objective is missed, or low while it is met.
+func TestLimitFollowsObjective(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{BetweenTokens: 50 * time.Millisecond, MaxInFlight: 30})
+	now := run(v, start, 20, 20*time.Millisecond)
+	fast := v.Limit()
+	is.True(fast > 20)
+	is.True(fast <= 30) // the hard limit
+	now = run(v, now, 20, 100*time.Millisecond)
+	is.True(v.Limit() < fast/2)
+	run(v, now, 20, 20*time.Millisecond)
+	is.True(v.Limit() > fast/2)
+}
+
+// Guards against more than the whole limit for one instance, and against a share that starves it.
+func TestShareOfLimit(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{MaxInFlight: 8})
+	v.Refresh(start, 100)
+	is.Equal(v.Allowed(), 8)
+	v.Peers(engine.PeerView{Known: true, InFlight: 6, Demand: 24, Limits: 6 * 8})
+	v.Refresh(start, 8)
+	is.Equal(v.Allowed(), 2)
+	v.Refresh(start, 0)
+	is.Equal(v.Allowed(), 1)
+	v.Peers(engine.PeerView{Known: true, InFlight: 8, Demand: 800, Limits: 8 * 8})
+	v.Refresh(start, 1)
+	is.Equal(v.Allowed(), 0) // the others hold the whole limit
+}
+
+// Guards against an old report that hides own dispatches since then, and against one that counts
+// own requests twice.
+func TestOccupancyFromLateReport(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{})
+	var before, after engine.Flight
+	v.Start(start, &before)
+	v.Start(start.Add(2*time.Second), &after)
+	now := start.Add(3 * time.Second)
+	v.Report(now, start.Add(time.Second), 5, 0)
+	is.True(v.Occupancy(start.Add(time.Second)) > 5.5) // 4 of others and 2 own
+	is.True(v.Occupancy(now) < 6)                      // the report loses weight
+	is.True(v.Occupancy(now) > 2)
+}
+
+// Guards against a stuck engine that attracts requests because it looks idle.
+func TestStalledEngineLooksSlow(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{})
+	f := engine.Flight{Prompt: 100}
+	v.Start(start, &f)
+	early := v.Expected(start, 100, 0, 10)
+	late := v.Expected(start.Add(5*time.Second), 100, 0, 10)
+	is.True(late > early+4*time.Second)
+}
+
+// Guards against an engine that is never let back in, or at once with its whole limit.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	v := engine.New(engine.Options{MaxInFlight: 10, Plain: true})
+	for range 10 {
+		v.Health.Failure(start)
+	}
+	is.True(v.Health.Outlier())
+	v.Health.Eject(start)
+	is.True(!v.Health.Expire(start.Add(time.Second)))
+	back := start.Add(5 * time.Second)
+	is.True(v.Health.Expire(back))
+	v.Refresh(back, 10)
+	is.Equal(v.Allowed(), 1)
+	v.Refresh(back.Add(10*time.Second), 10)
+	is.Equal(v.Allowed(), 10)
+	v.Health.Eject(back)
+	is.True(!v.Health.Expire(back.Add(6 * time.Second))) // the second ejection in a row is longer
+}
--- /dev/null
+++ b/scheduler/property_test.go
@@ -0,0 +1,299 @@
+package scheduler_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/primrosebeam/primrosebeam/label"
+	"github.com/primrosebeam/primrosebeam/scheduler"
+)
+
+// TestMain fixes the seed of the property tests unless one is given, so that CI repeats.
+func TestMain(m *testing.M) {
+	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"}
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func mustSelector(text string) label.Selector {
+	s, err := label.ParseSelector(text)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func propertyPolicy(minimumShare float64) scheduler.Policy {
+	p := smallPolicy(0)
+	for i := range p.Tiers {
+		p.Tiers[i].QueueLimit = 3
+		p.Tiers[i].FirstToken = time.Second
+		if i > 0 {
+			p.Tiers[i].MinimumShare = minimumShare
+		}
+	}
+	p.Services = append(p.Services, scheduler.Service{Name: "chat", Kind: scheduler.KindModel, Selector: mustSelector("kind=model"), RetryBudget: 0.5})
+	for i := range 5 {
+		e := scheduler.Engine{Name: fmt.Sprintf("e%d", i), MaxInFlight: 1 + i%2, Drained: i == 4, Labels: label.Set{}}
+		if i < 3 {
+			e.Labels["kind"] = "model"
+		}
+		p.Engines = append(p.Engines, e)
+	}
+	return p
+}
+
+// drive runs random events against d and returns the first violation.
+func drive(t *rapid.T, d decider, p scheduler.Policy) error {
+	c := newChecker(p)
+	now := start
+	if err := c.step(d, now, scheduler.Configure{Policy: p}); err != nil {
+		return err
+	}
+	for i := range rapid.IntRange(10, 120).Draw(t, "events") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+		if err := c.step(d, now, drawEvent(t, c, now, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func drawEvent(t *rapid.T, c *checker, now time.Time, i int) scheduler.Event {
+	engine := fmt.Sprintf("e%d", rapid.IntRange(0, 4).Draw(t, "engine"))
+	switch rapid.IntRange(0, 15).Draw(t, "event") {
+	case 0:
+		return scheduler.EngineState{
+			Engine: engine, Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+			Leaving: rapid.IntRange(0, 5).Draw(t, "leaving") == 0, Reachable: rapid.IntRange(0, 5).Draw(t, "reachable") > 0,
+		}
+	case 1:
+		return scheduler.PeerFloor{Instance: "b", Tier: rapid.IntRange(0, 2).Draw(t, "floor"), Expires: now.Add(time.Second)}
+	case 2:
+		return scheduler.PeerSummary{Instance: "b", At: now, Engines: map[string]scheduler.PeerLoad{
+			engine: {InFlight: rapid.IntRange(0, 4).Draw(t, "peer"), Demand: rapid.IntRange(0, 9).Draw(t, "demand"), Limit: 4},
+		}}
+	case 3:
+		return scheduler.Wake{}
+	case 4, 5, 6, 7, 8:
+		return drawArrival(t, i)
+	}
+	return drawOutcome(t, c)
+}
+
+func drawArrival(t *rapid.T, i int) scheduler.Event {
+	idempotent := rapid.Bool().Draw(t, "idempotent")
+	r := scheduler.Request{
+		ID:         scheduler.RequestID(fmt.Sprintf("r%03d", i)),
+		Workspace:  rapid.SampledFrom([]string{"large", "large", "small"}).Draw(t, "workspace"),
+		Service:    rapid.SampledFrom([]string{"orders", "chat"}).Draw(t, "service"),
+		Tier:       rapid.IntRange(0, 2).Draw(t, "tier"),
+		Idempotent: idempotent,
+		Redispatch: idempotent && rapid.Bool().Draw(t, "redispatch"),
+	}
+	if r.Service == "chat" {
+		r.PromptTokens = 200
+		r.Prefix = []uint64{uint64(rapid.IntRange(1, 3).Draw(t, "prefix"))}
+	}
+	return scheduler.Arrive{Request: r}
+}
+
+// drawOutcome draws what may happen to a request that was dispatched, or an Abandon of any.
+func drawOutcome(t *rapid.T, c *checker) scheduler.Event {
+	var running, known []scheduler.RequestID
+	for i := range 120 {
+		id := scheduler.RequestID(fmt.Sprintf("r%03d", i))
+		f := c.requests[id]
+		if f == nil {
+			continue
+		}
+		known = append(known, id)
+		if f.phase == onEngine {
+			running = append(running, id)
+		}
+	}
+	if len(running) == 0 {
+		if len(known) == 0 {
+			return scheduler.Wake{}
+		}
+		return scheduler.Abandon{ID: rapid.SampledFrom(known).Draw(t, "abandoned")}
+	}
+	id := rapid.SampledFrom(running).Draw(t, "request")
+	switch rapid.IntRange(0, 6).Draw(t, "outcome") {
+	case 0:
+		return scheduler.BytesSent{ID: id}
+	case 1, 2:
+		return scheduler.Refused{ID: id}
+	case 3:
+		return scheduler.FirstToken{ID: id}
+	case 4:
+		return scheduler.Abandon{ID: id}
+	default:
+		return scheduler.Finish{ID: id, Result: rapid.SampledFrom([]scheduler.Result{
+			scheduler.ResultSuccess, scheduler.ResultFailed,
+		}).Draw(t, "result"), CachedTokens: -1, OutputTokens: 10}
+	}
+}
+
+func newScheduler() *scheduler.Scheduler {
+	return scheduler.New(scheduler.Options{Rand: rand.New(rand.NewPCG(7, 7)), Instance: "a"})
+}
+
+// Guards the invariants: at most one dispatch after the first byte, shedding by tier, one Reject
+// and nothing after it, nothing to leaving or drained engines, and no idle engine while work waits.
+func TestInvariants(t *testing.T) {
+	for _, share := range []float64{0, 0.1} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				if err := drive(t, newScheduler(), propertyPolicy(share)); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// broken passes events and actions on and violates one rule.
+type broken struct {
+	*scheduler.Scheduler
+	event  func(e scheduler.Event) scheduler.Event
+	action func(now time.Time, e scheduler.Event, actions []scheduler.Action) []scheduler.Action
+}
+
+func (b broken) Step(now time.Time, e scheduler.Event) []scheduler.Action {
+	inner := e
+	if b.event != nil {
+		inner = b.event(e)
+	}
+	actions := append([]scheduler.Action(nil), b.Scheduler.Step(now, inner)...)
+	if b.action != nil {
+		actions = b.action(now, e, actions)
+	}
+	return actions
+}
+
+// Guards the checker: each variant breaks one rule and must be found.
+func TestCheckerFindsBrokenVariants(t *testing.T) {
+	variants := map[string]struct {
+		make func() decider
+		want string
+	}{
+		"forgets the first byte": {forgetsFirstByte, "which does not wait"},
+		"ignores leaving":        {ignoresLeaving, "to leaving engine"},
+		"ignores a drain":        {ignoresDrain, "to drained engine"},
+		"rejects twice":          {rejectsTwice, "which does not wait"},
+		"sheds the wrong tier":   {shedsWrongTier, "rejected for lack of room"},
+		"acts after a finish":    {actsAfterFinish, "which does not wait"},
+		"leaves an engine idle":  {withholds, "requests wait for"},
+	}
+	for name, v := range variants {
+		t.Run(name, func(t *testing.T) {
+			found := ""
+			for seed := range 400 {
+				err := rapid.Custom(func(t *rapid.T) error { return drive(t, v.make(), propertyPolicy(0)) }).Example(seed)
+				if err != nil {
+					found = err.Error()
+				}
+				if strings.Contains(found, v.want) {
+					return
+				}
+			}
+			t.Fatalf("not found; last violation: %q", found)
+		})
+	}
+}
+
+func forgetsFirstByte() decider {
+	return broken{Scheduler: newScheduler(), event: func(e scheduler.Event) scheduler.Event {
+		switch e.(type) {
+		case scheduler.BytesSent, scheduler.FirstToken:
+			return scheduler.Wake{}
+		}
+		return e
+	}}
+}
+
+func ignoresLeaving() decider {
+	return broken{Scheduler: newScheduler(), event: func(e scheduler.Event) scheduler.Event {
+		if state, ok := e.(scheduler.EngineState); ok {
+			state.Leaving = false
+			return state
+		}
+		return e
+	}}
+}
+
+func ignoresDrain() decider {
+	return broken{Scheduler: newScheduler(), event: func(e scheduler.Event) scheduler.Event {
+		if c, ok := e.(scheduler.Configure); ok {
+			c.Policy.Engines = append([]scheduler.Engine(nil), c.Policy.Engines...)
+			for i := range c.Policy.Engines {
+				c.Policy.Engines[i].Drained = false
+			}
+			return c
+		}
+		return e
+	}}
+}
+
+func rejectsTwice() decider {
+	return broken{Scheduler: newScheduler(), action: func(_ time.Time, _ scheduler.Event, actions []scheduler.Action) []scheduler.Action {
+		for _, a := range actions {
+			if r, ok := a.(scheduler.Reject); ok {
+				return append(actions, r)
+			}
+		}
+		return actions
+	}}
+}
+
+// shedsWrongTier rejects an arriving request instead of the one of a lower tier that was shed.
+func shedsWrongTier() decider {
+	return broken{Scheduler: newScheduler(), action: func(_ time.Time, e scheduler.Event, actions []scheduler.Action) []scheduler.Action {
+		arrival, ok := e.(scheduler.Arrive)
+		if !ok {
+			return actions
+		}
+		for i, a := range actions {
+			if r, ok := a.(scheduler.Reject); ok && r.Reason == scheduler.RejectShed {
+				r.ID = arrival.Request.ID
+				actions[i] = r
+			}
+		}
+		return actions
+	}}
+}
+
+func actsAfterFinish() decider {
+	return broken{Scheduler: newScheduler(), action: func(_ time.Time, e scheduler.Event, actions []scheduler.Action) []scheduler.Action {
+		if f, ok := e.(scheduler.Finish); ok {
+			return append(actions, scheduler.Dispatch{ID: f.ID, Engine: "e0"})
+		}
+		return actions
+	}}
+}
+
+// idler shows more room than the scheduler uses.
+type idler struct{ *scheduler.Scheduler }
+
+func (i idler) State(now time.Time) scheduler.State {
+	s := i.Scheduler.State(now)
+	for n := range s.Engines {
+		s.Engines[n].Allowed++
+	}
+	return s
+}
+
+func withholds() decider { return idler{newScheduler()} }
