Bound slow bodies and pass on events of plain services as they come

Cause: a slow body held a place without bound; an event stream of a plain service was held until its end; an answer without a body got a length. Change: a deadline for the body, flushing for event streams of plain services, no Content-Length on 204 and 304; tests of the handler before one engine. Resetting the read deadline after it had passed made the server wait for the rest of the body for ever; that try hung the test and is not in the code.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -73,6 +73,7 @@
 		Logger:      o.Logger,
 		Metrics:     i.metrics,
 		BodyBytes:   o.Limits.BodyBytes,
+		BodyTimeout: o.Limits.ReadTimeout,
 		AnswerBytes: o.Limits.AnswerBytes,
 		OnLeaving:   i.engineSaysLeaving,
 
--- a/instance/options.go
+++ b/instance/options.go
@@ -52,6 +52,6 @@
 	BodyBytes   int
 	AnswerBytes int // answers up to this size are held until whole
 	Connections int
-	Requests    int // waiting and in flight
-	ReadTimeout time.Duration
+	Requests    int           // waiting and in flight
+	ReadTimeout time.Duration // for a request's header, and again for its body
 }
--- a/instance/server.go
+++ b/instance/server.go
@@ -6,8 +6,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 )
 
+// idleTimeout closes connections on which nothing was asked for a while.
+const idleTimeout = 2 * time.Minute
+
 // server is an HTTP server on an open listener.
 type server struct {
 	listener net.Listener
@@ -28,6 +32,7 @@
 			Handler:           handler,
 			Protocols:         &protocols,
 			ReadHeaderTimeout: limits.ReadTimeout,
+			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
 		},
 	}, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,8 +31,9 @@
 	Upstream    *upstream.Client
 	Logger      zerolog.Logger
 	Metrics     *metrics.Set
-	BodyBytes   int // largest request body
-	AnswerBytes int // answers up to this size are held until whole
+	BodyBytes   int           // largest request body
+	BodyTimeout time.Duration // longest time to read a request body; 0 means no bound
+	AnswerBytes int           // answers up to this size are held until whole
 	// InstanceGone reports whether an instance is known to have failed or left; nil means never.
 	InstanceGone func(instance string) bool
 	// OnLeaving is called when an engine's answer says that it takes no more work; it must not block.
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,189 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/dispatch"
+	"github.com/primrosebeam/primrosebeam/internal/entry"
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+	"github.com/primrosebeam/primrosebeam/scheduler"
+)
+
+const token = "token-of-the-test"
+
+// serve starts a handler before one engine and returns its URL.
+func serve(t *testing.T, engine http.HandlerFunc, route configuration.Route) string {
+	t.Helper()
+	backend := httptest.NewServer(engine)
+	t.Cleanup(backend.Close)
+	sum := sha256.Sum256([]byte(token))
+	view, err := configuration.Resolve(1, &configuration.Document{
+		Tiers:      []configuration.Tier{{Name: "urgent", QueueLimit: 10}, {Name: "batch", QueueLimit: 10}},
+		TierRules:  []configuration.TierRule{{When: "work!=report", Tier: "urgent"}},
+		Workspaces: []configuration.Workspace{{Name: "w", TokenSHA256: []string{hex.EncodeToString(sum[:])}}},
+		Services:   []configuration.Service{{Name: "s", Kind: configuration.KindPlain, RetryBudget: 1, Routes: []configuration.Route{route}}},
+		Engines:    []configuration.Engine{{Name: "e", URL: backend.URL, DataCentre: "bern"}, {Name: "f", URL: "http://127.0.0.1:1", DataCentre: "bern"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	duty := dispatch.New(dispatch.Options{
+		Scheduler:   scheduler.New(scheduler.Options{Rand: rand.New(rand.NewPCG(1, 2))}),
+		MaxRequests: 10,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = duty.Run(ctx) }()
+	if err := duty.Configure(view.Policy("bern")); err != nil {
+		t.Fatal(err)
+	}
+	handler := entry.New(entry.Options{
+		Name: "a", DataCentre: "bern", Dispatch: duty, Upstream: upstream.New(), Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+		BodyBytes: 1 << 10, BodyTimeout: 200 * time.Millisecond, AnswerBytes: 1 << 10,
+	})
+	handler.Configure(view)
+	front := httptest.NewServer(handler)
+	t.Cleanup(front.Close)
+	return front.URL
+}
+
+func do(t *testing.T, method, url, body string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(data)
+}
+
+// Guards against answers that change on the way: status, headers, trailers, empty and large bodies.
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("x", 5<<10)
+	url := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.Header.Get("Authorization"), "")
+		w.Header().Set("X-Kept", "yes")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "dropped")
+		switch r.URL.Query().Get("kind") {
+		case "empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "large":
+			fmt.Fprint(w, large)
+		case "trailer":
+			w.Header().Set("Trailer", "X-Sum")
+			fmt.Fprint(w, "body")
+			w.Header().Set("X-Sum", "1")
+		}
+	}, configuration.Route{Path: "/any/"})
+	empty, body := do(t, http.MethodPost, url+"/any/x?kind=empty", "")
+	is.Equal(empty.StatusCode, http.StatusNoContent)
+	is.Equal(body, "")
+	is.Equal(empty.Header.Get("Content-Length"), "")
+	is.Equal(empty.Header.Get("X-Kept"), "yes")
+	is.Equal(empty.Header.Get("X-Hop"), "")
+	_, body = do(t, http.MethodPost, url+"/any/x?kind=large", "")
+	is.Equal(body, large)
+	trailer, body := do(t, http.MethodGet, url+"/any/x?kind=trailer", "")
+	is.Equal(body, "body")
+	is.Equal(trailer.Trailer.Get("X-Sum"), "1")
+	is.Equal(trailer.Header.Get(entry.HeaderOutcome), string(entry.OutcomeAnswered))
+}
+
+// Guards against events of a plain service that are held back until the stream ends.
+func TestPlainEventsAreFlushed(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "data: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		fmt.Fprint(w, "data: 2\n\n")
+	}, configuration.Route{Path: "/events"})
+	request, err := http.NewRequest(http.MethodGet, url+"/events", nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	line, err := reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "data: 1\n")
+	close(release)
+	rest, err := io.ReadAll(reader)
+	is.NoErr(err)
+	is.Equal(string(rest), "\ndata: 2\n\n")
+	is.Equal(response.Trailer.Get(entry.HeaderOutcome), string(entry.OutcomeAnswered))
+}
+
+// Guards against a caller that holds a place by sending its body slowly.
+func TestSlowBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	url := serve(t, func(http.ResponseWriter, *http.Request) { t.Error("reached the engine") }, configuration.Route{Path: "/x"})
+	connection, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	is.NoErr(err)
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST /x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 10\r\n\r\nabc", token)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusRequestTimeout)
+	is.Equal(response.Header.Get(entry.HeaderOutcome), string(entry.OutcomeNotRun))
+}
+
+// breaking answers the first request with a broken answer and the next ones whole.
+func breaking(calls *int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		*calls++
+		if *calls == 1 {
+			w.Header().Set("Content-Length", "100")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "whole")
+	}
+}
+
+// Guards against a second dispatch of a lookup unless its route allows it.
+func TestRedispatchOnlyWhereAllowed(t *testing.T) {
+	is := is.New(t)
+	for _, allowed := range []bool{false, true} {
+		calls := 0
+		url := serve(t, breaking(&calls), configuration.Route{Path: "/x", Methods: []string{http.MethodGet}, Redispatch: allowed})
+		response, _ := do(t, http.MethodGet, url+"/x", "")
+		if !allowed {
+			is.Equal(response.Header.Get(entry.HeaderOutcome), string(entry.OutcomeUndetermined))
+			is.Equal(calls, 1)
+		}
+		is.True(calls <= 2)
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -95,15 +96,24 @@
 }
 
 func (x *exchange) readBody() *Problem {
+	controller := http.NewResponseController(x.writer)
+	if timeout := x.handler.options.BodyTimeout; timeout > 0 {
+		_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	}
 	limited := http.MaxBytesReader(x.writer, x.incoming.Body, int64(x.handler.options.BodyBytes))
 	body, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return problemBodyTooLarge.with(fmt.Sprintf("at most %d bytes", tooLarge.Limit))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline stays, or the server would wait for the rest of the body before it answers.
+		x.writer.Header().Set("Connection", "close")
+		return problemBodyTimeout.with("")
 	case err != nil:
 		return problemBody.with("the body broke off")
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	x.body = body
 	if x.route.Service.Kind != configuration.KindModel || len(body) == 0 {
 		return nil
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -58,6 +58,7 @@
 	problemTier          = newProblem(http.StatusBadRequest, "bad-tier", "The requested tier does not exist.", OutcomeNotRun)
 	problemBody          = newProblem(http.StatusBadRequest, "bad-body", "The request body is malformed.", OutcomeNotRun)
 	problemBodyTooLarge  = newProblem(http.StatusRequestEntityTooLarge, "body-too-large", "The request body is larger than allowed.", OutcomeNotRun)
+	problemBodyTimeout   = newProblem(http.StatusRequestTimeout, "body-timeout", "The request body came too slowly.", OutcomeNotRun)
 	problemNotReady      = newProblem(http.StatusServiceUnavailable, "not-ready", "The instance has no configuration yet or is stopping.", OutcomeNotRun)
 	problemOverloaded    = newProblem(http.StatusServiceUnavailable, "overloaded", "The request was given up on because of load.", OutcomeNotRun)
 	problemNoEngine      = newProblem(http.StatusServiceUnavailable, "no-engine", "No engine can take the request.", OutcomeNotRun)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -19,6 +19,8 @@
 	resumeAttempts   = 3
 	resumeBackoff    = 100 * time.Millisecond // doubled after each attempt
 	progressInterval = 32                     // events between two reports of progress
+
+	plainStreamBuffer = 16 << 10 // bytes
 )
 
 // relay carries one engine's answer to the caller.
@@ -36,15 +38,20 @@
 // run returns a problem only while nothing was written to the caller.
 func (r *relay) run(ctx context.Context) *Problem {
 	r.finish = scheduler.Finish{Result: scheduler.ResultSuccess, CachedTokens: -1}
-	if r.isEventStream() {
+	switch {
+	case !r.isEventStream():
+		return r.relayAnswer(ctx)
+	case r.exchange.route.Service.Kind == configuration.KindModel:
 		return r.relayStream(ctx)
+	default:
+		r.relayPlainStream()
+		return nil
 	}
-	return r.relayAnswer(ctx)
 }
 
 func (r *relay) isEventStream() bool {
 	kind, _, err := mime.ParseMediaType(r.response.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream" && r.exchange.route.Service.Kind == configuration.KindModel
+	return err == nil && kind == "text/event-stream"
 }
 
 // relayAnswer holds an answer of bounded size until it is whole; a larger one is passed on as it comes.
@@ -77,6 +84,11 @@
 	return nil
 }
 
+// mayHaveBody reports whether an answer of this status has a body (RFC 9110, section 6.4.1).
+func mayHaveBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // firstByte reports the start of the answer once.
 func (r *relay) firstByte() {
 	if r.ticket == nil || r.started {
@@ -118,7 +130,7 @@
 	header := x.writer.Header()
 	upstream.ForwardHeader(header, r.response.Header, nil)
 	header.Del("Content-Length")
-	if length >= 0 && x.incoming.Method != http.MethodHead {
+	if length >= 0 && x.incoming.Method != http.MethodHead && mayHaveBody(r.response.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
 	header.Set(HeaderRequestID, x.id)
@@ -131,6 +143,34 @@
 	x.writer.WriteHeader(r.response.StatusCode)
 }
 
+// relayPlainStream passes on the events of a plain service as they come. Only the end of the HTTP
+// body tells whether they are whole, and nothing can be resumed.
+func (r *relay) relayPlainStream() {
+	x := r.exchange
+	r.firstByte()
+	x.writer.Header().Add("Trailer", HeaderOutcome)
+	r.writeHeader(-1, "")
+	controller := http.NewResponseController(x.writer)
+	buffer := make([]byte, plainStreamBuffer)
+	for {
+		n, err := r.response.Body.Read(buffer)
+		if writeErr := r.writeBody(buffer[:n]); writeErr != nil || r.flush(controller) != nil {
+			r.callerGone()
+			return
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			x.outcome = OutcomeAnswered
+			x.writer.Header().Set(HeaderOutcome, string(OutcomeAnswered))
+			x.store(r.stored(nil, true))
+			return
+		case err != nil:
+			r.cut()
+			return
+		}
+	}
+}
+
 // relayStream passes on whole events. The outcome of a stream is known only at its end and is sent as a trailer.
 func (r *relay) relayStream(ctx context.Context) *Problem {
 	x := r.exchange
