claims: count successful requests without formatting a name

Cause: a third of the allocations of a claim with begin outside of the core went into the metric's name, and the tail of begin comes mostly from the garbage collector. Change: counters of successful requests are made once; the batch is reused.

--- a/internal/claims/owner.go
+++ b/internal/claims/owner.go
@@ -79,6 +79,7 @@
 
 	// The fields below belong to the duty.
 	clock         clock
+	batch         []*call // reused
 	ledger        *ledger.Ledger
 	journal       *journal.Journal
 	failure       error
@@ -185,20 +186,20 @@
 
 // serve handles everything that waits, one batch after the other.
 func (o *Owner) serve() {
-	batch := make([]*call, 0, maxBatch)
 	for {
-		batch = batch[:0]
-		for len(batch) < maxBatch {
+		clear(o.batch) // Answered calls must not be kept alive.
+		o.batch = o.batch[:0]
+		for len(o.batch) < maxBatch {
 			c, ok := o.calls.TryTake()
 			if !ok {
 				break
 			}
-			batch = append(batch, c)
+			o.batch = append(o.batch, c)
 		}
-		if len(batch) == 0 {
+		if len(o.batch) == 0 {
 			return
 		}
-		o.process(batch)
+		o.process(o.batch)
 		if now := time.Now(); now.Sub(o.lastTick) >= tickInterval {
 			o.tick(now) // A steady load must not starve the ticks.
 		}
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -53,6 +53,7 @@
 // meters are the metrics of an owner.
 type meters struct {
 	set             *metrics.Set
+	succeeded       [operations]*metrics.Counter
 	syncSeconds     *metrics.Histogram
 	syncRecords     *metrics.Histogram
 	snapshotSeconds *metrics.Histogram
@@ -66,7 +67,7 @@
 	set.GetOrCreateGauge("primrosebeam_ledger_claims", func() float64 { return float64(o.State().Ledger.Claims) })
 	set.GetOrCreateGauge("primrosebeam_ledger_copy_bytes", func() float64 { return float64(o.State().Ledger.CopyBytes) })
 	set.GetOrCreateGauge("primrosebeam_ledger_waiting", func() float64 { return float64(o.calls.Len()) })
-	return meters{
+	m := meters{
 		set:             set,
 		syncSeconds:     set.GetOrCreateHistogram("primrosebeam_ledger_sync_seconds"),
 		syncRecords:     set.GetOrCreateHistogram("primrosebeam_ledger_sync_records"),
@@ -75,12 +76,23 @@
 		freezes:         set.GetOrCreateCounter("primrosebeam_ledger_freezes_total"),
 		failures:        set.GetOrCreateCounter("primrosebeam_ledger_journal_failures_total"),
 	}
+	for op := range operations {
+		m.succeeded[op] = set.GetOrCreateCounter(requestsMetric(op, nil))
+	}
+	return m
+}
+
+func requestsMetric(op operation, err error) string {
+	return fmt.Sprintf("primrosebeam_ledger_requests_total{operation=%q,result=%q}", operationNames[op], code(err))
 }
 
 func (m meters) count(c *call) {
 	if c.operation == opBegin {
 		m.beginSeconds.UpdateDuration(c.queued)
 	}
-	name := fmt.Sprintf("primrosebeam_ledger_requests_total{operation=%q,result=%q}", operationNames[c.operation], code(c.err))
-	m.set.GetOrCreateCounter(name).Inc()
+	if c.err == nil {
+		m.succeeded[c.operation].Inc()
+		return
+	}
+	m.set.GetOrCreateCounter(requestsMetric(c.operation, c.err)).Inc()
 }
