--- a/consensus/node.go
+++ b/consensus/node.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if hard.Term > maxTerm || snapshot != nil && (snapshot.Index == 0 || snapshot.Index > maxIndex) {
+		return nil, &StateError{Detail: "term or index out of range"}
+	}
 	log, err := loadLog(snapshot, entries)
 	if err != nil {
 		return nil, err
