consensus: show that randomized schedules notice missing guards

Cause: that the schedules pass says little if they would pass without the guards too. Change: three variants without a guard run until an invariant fails. Measured: go test -race -v -run Notice ./consensus: each fails within the first seeds.

--- a/consensus/trap_test.go
+++ b/consensus/trap_test.go
@@ -242,3 +242,46 @@
 		}
 	}
 }
+
+// Guards against randomized schedules that are too tame to notice a missing guard: with each guard
+// removed, one of the first seeds must violate an invariant.
+func TestSchedulesNoticeMissingGuards(t *testing.T) {
+	cases := []struct {
+		name   string
+		remove func(s *schedule)
+	}{
+		{"acknowledgement before the sync", func(s *schedule) {
+			s.beforeSync = true
+			s.crashAt = func(_ *host, point string) bool {
+				return point == "between early send and sync" && s.random.IntN(100) == 0
+			}
+		}},
+		{"lost disk under the old identity", func(s *schedule) {
+			s.afterLoss = func(h *host) *MemoryStorage {
+				return &MemoryStorage{hard: HardState{Log: h.store.hard.Log}}
+			}
+		}},
+		{"refusal taken for an acknowledgement", func(s *schedule) {
+			s.mutate = func(_ *host, m *Message) {
+				if m.Kind == KindAppendReply && m.Reject {
+					m.Reject, m.Hint, m.HintTerm = false, 0, 0
+				}
+			}
+		}},
+	}
+	const seeds = 300
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				s := newSchedule(t, seed)
+				c.remove(s)
+				s.run()
+				if s.failure != "" {
+					t.Logf("seed %d: %s", seed, s.failure)
+					return
+				}
+			}
+			t.Errorf("%d schedules noticed nothing", seeds)
+		})
+	}
+}
