consensus: ask every peer and refuse to pledge after a vote

Cause: schedule 305708 founded a second log. The voters had moved to an instance that is no initial voter, one initial voter had been removed and wiped, one had lost its disk, and the third had only voted; all three pledged. The invariant that failed: two leaders in term 2. Change: the founder needs the pledges of all Voters and Peers, and a replica that has a term in its hard state refuses. Conclusion: kept; the price is that a log whose founder is lost between its election and its first replicated entry needs an operator.

--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -60,6 +60,42 @@
 	is.Equal(s.hosts["a"].node.Commit(), s.highest)
 }
 
+// Guards against a second log when the voters that hold the first one are no initial voters, and an
+// initial voter has only voted in it (found by schedule 305708: a second leader in a term).
+func TestFoundingAsksPeersAndVoters(t *testing.T) {
+	for _, peerAnswers := range []bool{false, true} {
+		is := is.New(t)
+		s := newSim(t, 1, "a", "b", "c")
+		x := s.add("x")
+		first := s.elect()
+		s.propose(first, "x")
+		s.settle()
+		if err := first.node.ProposeChange(Change{Kind: AddLearner, ID: x.id}); err != nil {
+			t.Fatal(err)
+		}
+		s.process(first)
+		s.tickFor(5)
+		is.True(s.leader().node.Configuration().IsVoter(x.id))
+		log := x.node.hard.Log
+		if !peerAnswers {
+			s.crash(x) // Then b is the only one that knows: it has voted, and its entries are taken away.
+			b := s.hosts["b"]
+			s.crash(b)
+			b.store = &MemoryStorage{hard: HardState{Log: log, Term: 2, Vote: first.id}}
+		}
+		for _, name := range s.names[:3] {
+			if name != "b" || peerAnswers {
+				s.loseDisk(s.hosts[name])
+			}
+			s.start(s.hosts[name])
+		}
+		s.tickFor(20)
+		is.Equal(s.hosts["a"].node.hard.Log, log)
+		is.True(!s.hosts["a"].node.hasLog())
+		s.mustHold()
+	}
+}
+
 // Guards against a leader that keeps its role past the election of its successor when all clocks
 // run at the same speed.
 func TestIsolatedLeaderStepsDownFirst(t *testing.T) {
--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -3,12 +3,14 @@
 import "slices"
 
 // Founding a log. Only one replica may found it: the initial voter with the lowest instance name.
-// It does so once every other initial voter has pledged, from its current disk, that it holds no log
-// and that it will belong to the log of this founder. The first entry then fixes the identities of
-// the voters.
+// It does so once every other initial voter and every other configured peer has pledged, from its
+// current disk, that it holds no log and that it will belong to the log of this founder. The first
+// entry then fixes the identities of the voters.
 //
 // This cannot found a second log beside an existing one: an entry of a log is committed only when a
-// quorum of its voters holds it, and every holder refuses to pledge as long as its disk exists.
+// quorum of its voters holds it, and every holder refuses to pledge as long as its disk exists. The
+// peers are asked because the voters may have been replaced by them. A replica that only voted
+// refuses as well: what its vote made possible may be committed on disks that are not asked.
 // A pledge is durable, so a message of an earlier founder that arrives after it is refused as one of
 // another log. A founder that was refused once belongs to the other log from then on.
 
@@ -32,8 +34,8 @@
 
 func (n *Node) tryFound() {
 	missing := 0
-	for _, name := range n.options.Founders {
-		if _, pledged := n.pledges[name]; !pledged && name != n.self.Instance {
+	for _, name := range n.peers() {
+		if _, pledged := n.pledges[name]; !pledged {
 			missing++
 			n.send(Message{Kind: KindFound, To: ID{Instance: name}})
 		}
@@ -47,7 +49,9 @@
 func (n *Node) found() {
 	voters := []ID{n.self}
 	for _, id := range n.pledges {
-		voters = with(voters, id)
+		if slices.Contains(n.options.Founders, id.Instance) {
+			voters = with(voters, id)
+		}
 	}
 	n.hard.Log = n.self
 	n.hard.Term++
@@ -65,7 +69,7 @@
 	}
 	own := n.hard.Log
 	free := own.IsZero() || own.Instance == m.From.Instance && own.Incarnation <= m.From.Incarnation
-	if n.hasLog() || !free {
+	if n.hasLog() || n.hard.Term > 0 || !free {
 		n.send(Message{Kind: KindPledge, To: m.From, Reject: true})
 		return
 	}
@@ -88,7 +92,7 @@
 	if m.From.Incarnation > n.pledges[m.From.Instance].Incarnation {
 		n.pledges[m.From.Instance] = m.From
 	}
-	if len(n.pledges) == len(n.options.Founders)-1 {
+	if len(n.pledges) == len(n.peers()) {
 		n.found()
 	}
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -45,7 +45,7 @@
 type Options struct {
 	Self            ID
 	Founders        []string // instances of the initial voters; only read while no log exists
-	Peers           []string // further instances that may know the log
+	Peers           []string // further instances that may hold the log; asked before one is founded
 	ElectionTicks   int      // a follower waits one to two times this long for a leader
 	HeartbeatTicks  int      // must be less than half of ElectionTicks
 	MaxMessageBytes int      // of entries in one append; a larger entry travels alone
--- a/consensus/validate.go
+++ b/consensus/validate.go
@@ -104,7 +104,7 @@
 		}
 		return nil
 	case KindPledge:
-		if !slices.Contains(n.options.Founders, m.From.Instance) {
+		if !slices.Contains(n.peers(), m.From.Instance) {
 			return unknown
 		}
 		return nil
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -42,7 +42,7 @@
 type Options struct {
 	Instance     string
 	Voters       []string // instances of the initial voters, the same list at each; only used while no log exists
-	Peers        []string // further instances that may know the log, for example replicas added later
+	Peers        []string // further instances that may hold the log, such as replicas added later; asked before one is founded
 	Directory    string   // of the journal; holds the replica's identity too
 	Files        journal.FileSystem
 	StateMachine StateMachine
