replica: measure outages with fresh election timeouts, bound the longest

Cause: every start used the same seed, so the same timeouts repeated, and the test bounded the median only. Change: each start takes the next seed; every round must stay below 2 s.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -77,6 +77,7 @@
 	names   []string
 	members map[string]*member
 	change  func(*Options)
+	seed    uint64 // of the election timeouts; a new one for each start
 
 	mu       sync.Mutex
 	running  map[string]*Replica
@@ -145,10 +146,11 @@
 	c.t.Helper()
 	m := c.members[name]
 	m.machine = &machine{}
+	c.seed++
 	o := Options{
 		Instance: name, Voters: c.names, Directory: m.directory, Files: m.files, StateMachine: m.machine,
 		Transport: endpoint{c, name}, Logger: zerolog.New(io.Discard),
-		Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[0]))),
+		Random: rand.New(rand.NewPCG(c.seed, 1)),
 	}
 	if c.change != nil {
 		c.change(&o)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -18,6 +19,11 @@
 	"github.com/primrosebeam/primrosebeam/journal/faultfs"
 )
 
+var (
+	outageRounds = flag.Int("outages", 7, "number of leaders that TestLeaderLoss stops")
+	outageSeed   = flag.Uint64("outage-seed", 1, "seed of the election timeouts in TestLeaderLoss")
+)
+
 // outageLimit is the target of section 1.7: no leader for at most 2 s after a crash.
 const outageLimit = 2 * time.Second
 
@@ -49,10 +55,11 @@
 // until a command is committed again.
 func TestLeaderLoss(t *testing.T) {
 	c := newCluster(t, nil, "a", "b", "c")
+	c.seed = *outageSeed
 	c.startAll()
 	leader := c.commit("first")
 	var outages []time.Duration
-	for round := range 5 {
+	for round := range *outageRounds {
 		start := time.Now()
 		_ = c.stop(leader.name)
 		next := c.commit(fmt.Sprint("round ", round))
@@ -63,9 +70,8 @@
 	}
 	slices.Sort(outages)
 	t.Logf("time without a leader: %v", outages)
-	// The median excludes a round in which the machine itself stood still.
-	if median := outages[len(outages)/2]; median > outageLimit {
-		t.Errorf("%v without a leader, the target is %v", median, outageLimit)
+	if longest := outages[len(outages)-1]; longest > outageLimit {
+		t.Errorf("%v without a leader, the target is %v", longest, outageLimit)
 	}
 }
 
