replica: test the loss of power in all replicas at once

Change: six rounds of proposals that end in a crash image of all disks, with a random part of the unsynced tail.

--- /dev/null
+++ b/internal/replica/crash_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/journal/faultfs"
+)
+
+// Guards against acknowledged commands that a loss of power in all replicas at once undoes, and
+// against commands that come back twice. Each disk keeps what was synced and a random part of the
+// rest, in the middle of proposals and compactions.
+func TestPowerLossOfAllReplicas(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, func(o *Options) { o.CompactEntries = 40; o.KeepEntries = 5 }, "a", "b", "c")
+	random := rand.New(rand.NewPCG(7, 7))
+	disks := map[string]*faultfs.FS{}
+	for _, name := range c.names {
+		disks[name] = faultfs.New()
+	}
+	var acknowledged []string
+	for round := range 6 {
+		for _, name := range c.names {
+			c.members[name].files = disks[name]
+		}
+		c.startAll()
+		c.commit(fmt.Sprint("start ", round))
+		stop, done := c.proposeUntilStopped(round)
+		time.Sleep(time.Duration(20+random.IntN(100)) * time.Millisecond)
+		acknowledged = append(acknowledged, stop()...) // Everything acknowledged until now must survive.
+		for _, name := range c.names {
+			disks[name] = disks[name].Crash(torn(random), random.IntN(2) == 0)
+		}
+		for _, name := range c.names {
+			_ = c.stop(name)
+		}
+		done()
+	}
+	for _, name := range c.names {
+		c.members[name].files = disks[name]
+	}
+	c.startAll()
+	c.converge()
+	held := map[string]int{}
+	for _, command := range c.members["a"].machine.list() {
+		held[command]++
+	}
+	for _, command := range acknowledged {
+		is.Equal(held[command], 1) // an acknowledged command, once
+	}
+	is.True(len(acknowledged) > 100)
+}
+
+// proposeUntilStopped proposes distinct commands at the leader from several goroutines. stop returns
+// what was acknowledged so far; done waits for the goroutines, whose replicas must be stopped first.
+func (c *cluster) proposeUntilStopped(round int) (stop func() []string, done func()) {
+	const callers = 8
+	var (
+		mu           sync.Mutex
+		acknowledged []string
+		wait         sync.WaitGroup
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	for caller := range callers {
+		wait.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				for _, name := range c.names {
+					command := fmt.Sprint(round, "/", caller, "/", i, "/", name) // each attempt is another command
+					if _, err := c.members[name].replica.Propose(ctx, []byte(command)); err != nil {
+						continue
+					}
+					mu.Lock()
+					acknowledged = append(acknowledged, command)
+					mu.Unlock()
+					break
+				}
+			}
+		})
+	}
+	stop = func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(acknowledged)
+	}
+	return stop, func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+// torn keeps the synced part of a file and a random part of what was written after it.
+func torn(random *rand.Rand) faultfs.Content {
+	return func(_ string, synced, written []byte) []byte {
+		if !bytes.HasPrefix(written, synced) {
+			return synced
+		}
+		return written[:len(synced)+random.IntN(len(written)-len(synced)+1)]
+	}
+}
