replica: test calls whose caller or replica stops

Cause: the outcome of interrupted calls was not covered. Change: TestInterruptedCalls; a closed ring is recognised with errors.As.

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -89,7 +90,8 @@
 }
 
 func (r *Replica) refusal(err error) error {
-	if _, closed := err.(*ring.ClosedError); closed {
+	var closed *ring.ClosedError
+	if errors.As(err, &closed) {
 		return &StoppedError{}
 	}
 	return fmt.Errorf("replica: call refused: %w", err)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"slices"
@@ -341,3 +342,22 @@
 	is.Equal(value("leader_changes_total"), 2.0)
 	is.Equal(value("commit_seconds_count"), 2.0)
 }
+
+// Guards against calls that hang or misreport their outcome when their caller or the replica stops.
+func TestInterruptedCalls(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	c.isolate(leader.name, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	var undetermined *UndeterminedError
+	_, err := leader.replica.Propose(ctx, []byte("unknown"))
+	is.True(asError(err, &undetermined))
+	is.True(errors.Is(leader.replica.Barrier(ctx), context.DeadlineExceeded)) // a read has no outcome to doubt
+	is.NoErr(c.stop(leader.name))
+	var stopped *StoppedError
+	_, err = leader.replica.Propose(context.Background(), []byte("refused"))
+	is.True(asError(err, &stopped) && !asError(err, &undetermined))
+}
