--- a/consensus/node.go
+++ b/consensus/node.go
@@ -45,7 +45,7 @@
 type Options struct {
 	Self            ID
 	Founders        []string // instances of the initial voters; only read while no log exists
-	Peers           []string // further instances that may know the log
+	Peers           []string // further instances that may hold the log; asked before one is founded
 	ElectionTicks   int      // a follower waits one to two times this long for a leader
 	HeartbeatTicks  int      // must be less than half of ElectionTicks
 	MaxMessageBytes int      // of entries in one append; a larger entry travels alone
@@ -122,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if hard.Term > maxTerm || snapshot != nil && (snapshot.Index == 0 || snapshot.Index > maxIndex) {
+		return nil, &StateError{Detail: "term or index out of range"}
+	}
 	log, err := loadLog(snapshot, entries)
 	if err != nil {
 		return nil, err
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -20,6 +20,7 @@
 }
 
 // Transport sends a message to an instance. It must not block; a message that cannot be sent is lost.
+// The message may be kept and encoded later, but not be changed.
 type Transport interface {
 	Send(to string, m consensus.Message) error
 }
@@ -41,7 +42,7 @@
 type Options struct {
 	Instance     string
 	Voters       []string // instances of the initial voters, the same list at each; only used while no log exists
-	Peers        []string // further instances that may know the log, for example replicas added later
+	Peers        []string // further instances that may hold the log, such as replicas added later; asked before one is founded
 	Directory    string   // of the journal; holds the replica's identity too
 	Files        journal.FileSystem
 	StateMachine StateMachine
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"github.com/primrosebeam/primrosebeam/consensus"
@@ -16,6 +20,11 @@
 	"github.com/primrosebeam/primrosebeam/journal/faultfs"
 )
 
+var (
+	outageRounds = flag.Int("outages", 7, "number of leaders that TestLeaderLoss stops")
+	outageSeed   = flag.Uint64("outage-seed", 1, "seed of the election timeouts in TestLeaderLoss")
+)
+
 // outageLimit is the target of section 1.7: no leader for at most 2 s after a crash.
 const outageLimit = 2 * time.Second
 
@@ -47,10 +56,11 @@
 // until a command is committed again.
 func TestLeaderLoss(t *testing.T) {
 	c := newCluster(t, nil, "a", "b", "c")
+	c.seed = *outageSeed
 	c.startAll()
 	leader := c.commit("first")
 	var outages []time.Duration
-	for round := range 5 {
+	for round := range *outageRounds {
 		start := time.Now()
 		_ = c.stop(leader.name)
 		next := c.commit(fmt.Sprint("round ", round))
@@ -61,9 +71,8 @@
 	}
 	slices.Sort(outages)
 	t.Logf("time without a leader: %v", outages)
-	// The median excludes a round in which the machine itself stood still.
-	if median := outages[len(outages)/2]; median > outageLimit {
-		t.Errorf("%v without a leader, the target is %v", median, outageLimit)
+	if longest := outages[len(outages)-1]; longest > outageLimit {
+		t.Errorf("%v without a leader, the target is %v", longest, outageLimit)
 	}
 }
 
@@ -303,3 +312,52 @@
 		c.converge()
 	}
 }
+
+// Guards against metrics that are missing, or that a restarted replica no longer feeds.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	set := metrics.NewSet()
+	c := newCluster(t, func(o *Options) { o.Metrics = set }, "a")
+	value := func(name string) (found float64) {
+		var out strings.Builder
+		set.WritePrometheus(&out)
+		for line := range strings.Lines(out.String()) {
+			if rest, ok := strings.CutPrefix(line, "primrosebeam_replica_"+name+`{instance="a"} `); ok {
+				_, _ = fmt.Sscan(rest, &found)
+			}
+		}
+		return found
+	}
+	for range 2 {
+		c.startAll()
+		c.commit("x")
+		c.await("the gauges follow", func() bool {
+			s := c.members["a"].replica.State().Node
+			return value("leads") == 1 && value("term") == float64(s.Term) && value("commit_index") == float64(s.Commit)
+		})
+		is.Equal(value("failed"), 0.0)
+		is.True(value("log_entries") > 0)
+		is.NoErr(c.stop("a"))
+	}
+	is.Equal(value("leader_changes_total"), 2.0)
+	is.Equal(value("commit_seconds_count"), 2.0)
+}
+
+// Guards against calls that hang or misreport their outcome when their caller or the replica stops.
+func TestInterruptedCalls(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, nil, "a", "b", "c")
+	c.startAll()
+	leader := c.commit("first")
+	c.isolate(leader.name, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	var undetermined *UndeterminedError
+	_, err := leader.replica.Propose(ctx, []byte("unknown"))
+	is.True(asError(err, &undetermined))
+	is.True(errors.Is(leader.replica.Barrier(ctx), context.DeadlineExceeded)) // a read has no outcome to doubt
+	is.NoErr(c.stop(leader.name))
+	var stopped *StoppedError
+	_, err = leader.replica.Propose(context.Background(), []byte("refused"))
+	is.True(asError(err, &stopped) && !asError(err, &undetermined))
+}
