Let waiting urgent requests replace those that leave a reserve

Cause: nine instances at load 1.5 lose urgent requests that wait: requests in the reserves keep each instance above its small share of the limit, and what the other instances do does not depend on who waits here. Change: where other instances are known, a request of the highest tier takes the place of one that leaves an engine, whether its prefix is cached or not.

--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -60,7 +60,7 @@
 	}
 	for _, sv := range m.services {
 		if g := sv.mostUrgent(); g != nil && !sv.plain() && m.view.RoomForCached(g.reserve) {
-			if e := g.cachedOn(m); e != nil {
+			if e := g.suited(m, s.replaces(g)); e != nil {
 				s.send(now, e, m)
 				return
 			}
@@ -88,11 +88,21 @@
 	return nil
 }
 
-// cachedOn returns the request with most of its prompt cached on an engine among the first ones of
-// the flows, nil when none has enough.
-func (g *group) cachedOn(m *server) *entry {
+// replaces reports whether a request of the tier may take the place of one that has left an engine
+// although its prefix is not cached there. With other instances on the engine, its reserves stay in
+// use while a request waits here, so that it would never fall below this instance's small share.
+func (s *Scheduler) replaces(g *group) bool {
+	return len(s.peers) > 0 && g.tier == 0
+}
+
+// suited returns the request with most of its prompt cached on an engine among the first ones of
+// the flows, nil when none has enough and no other may go there.
+func (g *group) suited(m *server, any bool) *entry {
 	var best *entry
 	most := reservePart
+	if any {
+		most = -1
+	}
 	left := reserveRequests
 	for _, f := range g.active {
 		for e := f.onTime.first; e != nil && left > 0 && g.inTurn(f, e); e = e.next {
