Publish a floor for own shedding only, and order peers in dumps

Cause: a request rejected because of another instance's floor made this instance publish one too, which with four tiers could bar a tier that nobody is short of room for; the peers in a dump came in random order. Change: the floor is published for RejectShed only; peers are sorted.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -77,13 +77,15 @@
 
 // shed gives up on the newest request of the workspace furthest over its fair share in the lowest
 // tier that waits, whichever tier is short of room: so no request is shed while one of a lower
-// tier waits. The floor is published first.
+// tier waits. A floor is published first, unless another instance's floor is the reason.
 func (s *Scheduler) shed(now time.Time, reason RejectReason) {
 	tier := s.lowestWaiting()
 	if tier < 0 {
 		return
 	}
-	s.publishFloor(now, tier)
+	if reason == RejectShed {
+		s.publishFloor(now, tier)
+	}
 	var worst *flow
 	for _, sv := range s.ordered {
 		f := sv.groups[tier].furthest()
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Counters counts what the scheduler has done since it was made.
 type Counters struct {
@@ -129,6 +133,7 @@
 	for name, p := range s.peers {
 		state.Peers = append(state.Peers, PeerState{Instance: name, At: p.at})
 	}
+	slices.SortFunc(state.Peers, func(a, b PeerState) int { return strings.Compare(a.Instance, b.Instance) })
 	return state
 }
 
