Start slowly on an engine that becomes reachable, measure without the copy

An engine that became reachable again got its whole limit at once. Change: the benchmark ends a random request; a reachable engine starts slowly.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -112,14 +112,15 @@
 	}
 }
 
-// finish ends the request that has run longest; the scheduler dispatches another one.
+// finish ends any running request; the scheduler dispatches another one.
 func (l *load) finish() {
 	if len(l.running) == 0 {
 		return
 	}
-	id := l.running[0]
-	copy(l.running, l.running[1:])
-	l.running = l.running[:len(l.running)-1]
+	i, last := l.rand.IntN(len(l.running)), len(l.running)-1
+	id := l.running[i]
+	l.running[i] = l.running[last]
+	l.running = l.running[:last]
 	delete(l.active, id)
 	l.step(l.finishes[id])
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -140,6 +140,22 @@
 	is.Equal(actions[0].(scheduler.Reject).Reason, scheduler.RejectNoEngine)
 }
 
+// Guards against a returning engine that gets its whole limit at once.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	p := smallPolicy(1)
+	p.Engines[0].MaxInFlight = 10
+	s := newSession(p)
+	s.do(scheduler.EngineState{Engine: "e0", Incarnation: 1, Reachable: false})
+	s.do(scheduler.EngineState{Engine: "e0", Incarnation: 1, Reachable: true})
+	_, actions := s.arrive(0, "large")
+	is.Equal(len(actions), 1)
+	_, actions = s.arrive(0, "large")
+	is.Equal(len(actions), 0)
+	s.now = s.now.Add(9 * time.Second)
+	is.Equal(len(s.do(scheduler.Wake{})), 1)
+}
+
 // Guards against a second dispatch after the first byte, and against retries beyond the budget.
 func TestRefused(t *testing.T) {
 	is := is.New(t)
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -93,13 +93,17 @@
 
 func (s *Scheduler) engineState(now time.Time, e EngineState) {
 	l := s.lifecycle(e.Engine)
+	unreachable := l.Unreachable
 	restarted := l.Observe(e.Incarnation, e.Leaving, e.Reachable)
 	m := s.servers[e.Engine]
 	if m == nil {
 		return
 	}
-	if restarted {
+	switch {
+	case restarted:
 		m.view.Restarted(now)
+	case unreachable && !l.Unreachable && !m.view.Health.Ejected():
+		m.view.Health.Return(now)
 	}
 	s.lifecycleChanged(now, m)
 }
