--- a/scheduler/scenario/targets_test.go
+++ b/scheduler/scenario/targets_test.go
@@ -8,6 +8,8 @@
 const (
 	floodCost      = 0.02
 	largeCost      = 0.02
+	wasteRatio     = 1.0 / 3
+	instancesCost  = 0.05
 	saturationCost = 0.05
 )
 
@@ -53,11 +55,37 @@
 	}
 }
 
-// Guards against a collapse of the goodput beyond saturation.
+// Guards against prefill that is computed again although another engine has it.
+func TestWastedPrefill(t *testing.T) {
+	for _, name := range []string{"steady", "cache events late, lost", "reports 2 s stale"} {
+		waste := over(ours(t, name), (*measured).wastedPerGood).mean
+		least := over(find(t, name, "least in flight"), (*measured).wastedPerGood).mean
+		t.Logf("%s: %.0f wasted tokens for each good answer, %.0f under least in flight", name, waste, least)
+		if waste > wasteRatio*least {
+			t.Errorf("%s: wasted prefill is %.2f of that under least in flight", name, waste/least)
+		}
+	}
+}
+
+// Guards against instances that, each with its own queue, use the engines worse than one would.
+func TestNineInstances(t *testing.T) {
+	one := over(ours(t, "steady"), (*measured).goodPerSecond).mean
+	atMostLess(t, "goodput", one, over(ours(t, "nine instances"), (*measured).goodPerSecond).mean, instancesCost)
+}
+
+// Guards against a collapse of the goodput beyond saturation, in requests and in output tokens: more
+// load brings more short urgent requests, so that requests alone could hide one.
 func TestBeyondSaturation(t *testing.T) {
-	peak := 0.0
-	for _, name := range []string{"steady", "saturated x1", "saturated x1.5"} {
-		peak = max(peak, over(ours(t, name), (*measured).goodPerSecond).mean)
+	for what, value := range map[string]func(*measured) float64{
+		"requests": (*measured).goodPerSecond, "tokens": (*measured).tokensPerSecond,
+	} {
+		peak := 0.0
+		for _, name := range []string{"steady", "saturated x1", "saturated x1.5", "saturated x2", "saturated x4"} {
+			rate := over(ours(t, name), value).mean
+			if peak > 0 && name != "steady" {
+				atMostLess(t, what+" "+name, peak, rate, saturationCost)
+			}
+			peak = max(peak, rate)
+		}
 	}
-	atMostLess(t, "goodput", peak, over(ours(t, "saturated x2"), (*measured).goodPerSecond).mean, saturationCost)
 }
