e2e: add a fault matrix over the steps of a request

Cause: faults were tested one at a time, at steps reached by sleeping. Change: stand-in engines hold requests before the first byte, in the middle and before the last byte until a test lifts the hold, and log each start to a file that survives a crash. A table of 15 faults strikes five kinds of request at six steps; checkers judge the history of every request, and are tested on hand-made histories that each break one invariant. Callers of 10 cells wait 30 s: a resend whose first attempt ended without an outcome joins it until the join timeout.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -135,6 +136,7 @@
 	engines  []*engine
 	inFlight int
 	links    map[linkName]*forwarder // between instances
+	queue    int                     // queueLimit of each tier
 }
 
 // linkName is the direction in which one instance dials another.
@@ -154,13 +156,19 @@
 	ledgers  int // members with the ledger role
 	interval time.Duration
 	inFlight int // hard limit of each engine; 0 means adaptive only
+	queue    int // queueLimit of each tier; 0 means 1000
 }
 
+// clusterSlots bounds the clusters that run at once, so that a busy machine does not look like a fault.
+var clusterSlots = make(chan struct{}, 4)
+
 var centres = []string{"bern", "olten", "aarau"}
 
 func startCluster(t *testing.T, o clusterOptions) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), inFlight: o.inFlight}
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
+	c := &cluster{t: t, folder: t.TempDir(), inFlight: o.inFlight, queue: cmp.Or(o.queue, 1000)}
 	for n := range o.models {
 		c.startEngine(fmt.Sprintf("model-%d", n), "model", o.interval)
 	}
@@ -201,9 +209,14 @@
 
 func (c *cluster) startEngine(name, kind string, interval time.Duration) {
 	e := &engine{name: name, kind: kind, address: freeAddress(c.t)}
-	e.process = startProcess(c.t, name, "standin", "-kind", kind, "-address", e.address, "-interval", interval.String())
+	e.process = startProcess(c.t, name, "standin", "-kind", kind, "-address", e.address, "-interval", interval.String(), "-runs", c.runLog(name))
 	c.engines = append(c.engines, e)
-	waitFor(c.t, "engine "+name, func() bool {
+	c.waitEngine(e)
+}
+
+func (c *cluster) waitEngine(e *engine) {
+	c.t.Helper()
+	waitFor(c.t, "engine "+e.name, func() bool {
 		response, err := http.Get("http://" + e.address + "/metrics")
 		if err != nil {
 			return false
@@ -303,9 +316,9 @@
 	}
 	return toJSON(map[string]any{
 		"tiers": []any{
-			map[string]any{"name": "urgent", "queueLimit": 1000, "firstToken": "420ms", "betweenTokens": "52ms", "deadline": "30s"},
-			map[string]any{"name": "normal", "queueLimit": 1000, "deadline": "60s"},
-			map[string]any{"name": "batch", "queueLimit": 1000, "deadline": "120s"},
+			map[string]any{"name": "urgent", "queueLimit": c.queue, "firstToken": "420ms", "betweenTokens": "52ms", "deadline": "30s"},
+			map[string]any{"name": "normal", "queueLimit": c.queue, "deadline": "60s"},
+			map[string]any{"name": "batch", "queueLimit": c.queue, "deadline": "120s"},
 		},
 		"tierRules": []any{
 			map[string]any{"when": "route=/orders", "tier": "urgent"},
@@ -337,12 +350,17 @@
 
 // cutOff separates the members of a data centre from all others, or joins them again.
 func (c *cluster) cutOff(centre string, cut bool) {
-	byName := map[string]string{}
+	c.separate(cut, func(m *member) bool { return m.centre == centre })
+}
+
+// separate cuts the links between the members that inside selects and all others, or joins them again.
+func (c *cluster) separate(cut bool, inside func(*member) bool) {
+	side := map[string]bool{}
 	for _, m := range c.members {
-		byName[m.name] = m.centre
+		side[m.name] = inside(m)
 	}
 	for name, f := range c.links {
-		if (byName[name.from] == centre) != (byName[name.to] == centre) {
+		if side[name.from] != side[name.to] {
 			f.setCut(cut)
 		}
 	}
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -31,6 +31,7 @@
 	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
 	kind := flags.String("kind", "model", "model or plain")
 	address := flags.String("address", "", "listening address")
+	runLog := flags.String("runs", "", "file that receives one line for each request before it runs")
 	interval := flags.Duration("interval", time.Millisecond, "time between tokens, or before a plain answer")
 	if err := flags.Parse(args); err != nil {
 		return command.ExitUsage
@@ -39,7 +40,11 @@
 	if *kind == "plain" {
 		engine = standin.NewPlain(*address, *interval)
 	}
-	if err := http.ListenAndServe(*address, standin.WithControl(engine)); err != nil {
+	handler := standin.WithControl(engine)
+	if *runLog != "" {
+		handler = logRuns(*runLog, handler)
+	}
+	if err := http.ListenAndServe(*address, handler); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
 	return command.ExitFailed
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -11,12 +11,14 @@
 	SetFaults(Faults)
 	SetLeaving(bool)
 	Runs() map[string]int
+	Held() int
 }
 
 // Counts is what a stand-in carried out.
 type Counts struct {
 	Runs   map[string]int `json:"runs"`             // by request ID
 	Orders map[string]int `json:"orders,omitempty"` // by order body
+	Held   int            `json:"held"`             // requests held at present
 }
 
 // Paths by which a test steers a stand-in in another process.
@@ -43,7 +45,7 @@
 		}
 	})
 	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
-		counts := Counts{Runs: e.Runs()}
+		counts := Counts{Runs: e.Runs(), Held: e.Held()}
 		if plain, ok := e.(*Plain); ok {
 			counts.Orders = plain.Orders()
 		}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -20,6 +20,7 @@
 	Fail           bool          // answers 500 at once
 	Delay          time.Duration // before the first byte of each answer
 	CutAnswer      bool          // breaks plain answers in the middle
+	Hold           Point         // holds each request at this point while it is set
 }
 
 // ModelOptions configures a Model.
@@ -33,9 +34,9 @@
 // cancel, load metrics and cache events.
 type Model struct {
 	options ModelOptions
+	switches
 
 	mu       sync.Mutex
-	faults   Faults
 	leaving  bool
 	runs     map[string]int
 	streams  map[string]*generation
@@ -58,13 +59,6 @@
 	return &Model{options: o, runs: map[string]int{}, streams: map[string]*generation{}}
 }
 
-// SetFaults replaces the faults in force.
-func (m *Model) SetFaults(f Faults) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.faults = f
-}
-
 // SetLeaving makes the engine announce that it takes no more work.
 func (m *Model) SetLeaving(leaving bool) {
 	m.mu.Lock()
@@ -126,7 +120,13 @@
 		prompt += len(message.Content)
 	}
 	g := m.generate(id, max(1, request.MaxTokens), prompt)
-	if faults.WrongID {
+	if !g.wait(r.Context(), request.Stream) {
+		if !request.Stream && !m.current().IgnoreCancel {
+			g.cancel()
+		}
+		return
+	}
+	if m.current().WrongID {
 		id += "-other"
 	}
 	w.Header().Set("X-Request-Id", id)
@@ -134,12 +134,6 @@
 		m.stream(w, r, g, 0)
 		return
 	}
-	if !g.wait(r.Context()) {
-		if !faults.IgnoreCancel {
-			g.cancel()
-		}
-		return
-	}
 	writeJSON(w, http.StatusOK, map[string]any{
 		"id":      g.id,
 		"choices": []any{map[string]any{"message": map[string]string{"role": "assistant", "content": g.text()}}},
@@ -151,7 +145,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.runs[id]++
-	return m.faults
+	return m.current()
 }
 
 // generate produces the events of a request in the background, as an engine with batching does.
@@ -161,8 +155,8 @@
 	m.mu.Lock()
 	m.streams[id] = g
 	m.running++
-	delay := m.faults.Delay
 	m.mu.Unlock()
+	delay := m.current().Delay
 	if m.options.PrefillRate > 0 {
 		delay += time.Duration(promptBytes/m.options.PrefillRate) * time.Millisecond
 	}
@@ -174,17 +168,37 @@
 			return
 		}
 		for n := range tokens {
+			if !m.mayEmit(ctx, n, tokens) {
+				g.add("", true)
+				return
+			}
 			g.add(Token(id, n), false)
 			if !sleep(ctx, m.options.TokenInterval) {
 				g.add("", true)
 				return
 			}
 		}
+		if _, passed := m.pass(ctx, HoldLast); !passed {
+			g.add("", true)
+			return
+		}
 		g.add("[DONE]", true)
 	}()
 	return g
 }
 
+// mayEmit waits until token n of a generation is not held; it returns false when the generation was cancelled.
+func (m *Model) mayEmit(ctx context.Context, n, tokens int) bool {
+	passed := true
+	if n == 0 {
+		_, passed = m.pass(ctx, HoldFirst)
+	}
+	if passed && n == tokens/2 {
+		_, passed = m.pass(ctx, HoldMiddle)
+	}
+	return passed
+}
+
 func (m *Model) ended() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -203,13 +217,15 @@
 	for {
 		events, done, changed := g.from(next)
 		for _, event := range events {
-			fmt.Fprint(w, formatEvent(g.id, next, event))
+			faults := m.current()
+			id := g.id
+			if faults.WrongID {
+				id += "-other"
+			}
+			fmt.Fprint(w, formatEvent(id, next, event))
 			next++
 			sent++
-			m.mu.Lock()
-			cut := m.faults.CutAfterEvents
-			m.mu.Unlock()
-			if cut > 0 && sent >= cut {
+			if faults.CutAfterEvents > 0 && sent >= faults.CutAfterEvents {
 				_ = controller.Flush()
 				panic(http.ErrAbortHandler)
 			}
@@ -240,8 +256,8 @@
 func (m *Model) serveRequest(w http.ResponseWriter, r *http.Request, id string) {
 	m.mu.Lock()
 	g, known := m.streams[id]
-	faults := m.faults
 	m.mu.Unlock()
+	faults := m.current()
 	if !known || faults.NoResume && r.Method == http.MethodGet {
 		writeJSON(w, http.StatusNotFound, map[string]string{"error": "unknown request"})
 		return
@@ -295,10 +311,11 @@
 	return events, g.done, g.changed
 }
 
-func (g *generation) wait(ctx context.Context) bool {
+// wait returns once the generation is done, or with firstOnly once it has an event; false means that ctx ended first.
+func (g *generation) wait(ctx context.Context, firstOnly bool) bool {
 	for {
-		_, done, changed := g.from(0)
-		if done {
+		events, done, changed := g.from(0)
+		if done || firstOnly && len(events) > 0 {
 			return true
 		}
 		select {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -13,8 +15,9 @@
 	Name  string
 	Delay time.Duration // before each answer
 
+	switches
+
 	mu      sync.Mutex
-	faults  Faults
 	leaving bool
 	orders  map[string]int // by body
 	runs    map[string]int // by request ID
@@ -26,13 +29,6 @@
 	return &Plain{Name: name, Delay: delay, orders: map[string]int{}, runs: map[string]int{}}
 }
 
-// SetFaults replaces the faults in force.
-func (p *Plain) SetFaults(f Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults = f
-}
-
 // SetLeaving makes the service announce that it takes no more work.
 func (p *Plain) SetLeaving(leaving bool) {
 	p.mu.Lock()
@@ -87,6 +83,10 @@
 	faults := p.record(r, string(body))
 	defer p.ended()
 	sleep(r.Context(), p.Delay+faults.Delay)
+	faults, passed := p.pass(r.Context(), HoldFirst)
+	if !passed {
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	if faults.WrongID {
 		id += "-other"
@@ -102,9 +102,34 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, map[string]string{
+	answer, _ := json.Marshal(map[string]string{
 		"method": r.Method, "path": r.URL.Path, "body": string(body), "requestId": id,
 	})
+	p.writeHeld(w, r, append(answer, '\n'))
+}
+
+// writeHeld writes an answer up to the point where requests are held, and its rest after the release.
+func (p *Plain) writeHeld(w http.ResponseWriter, r *http.Request, answer []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	point := p.current().Hold
+	split := len(answer)
+	switch point {
+	case HoldMiddle:
+		split /= 2
+	case HoldLast:
+		split--
+	}
+	_, _ = w.Write(answer[:split])
+	if split == len(answer) {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	faults, passed := p.pass(r.Context(), point)
+	if !passed || faults.CutAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer[split:])
 }
 
 func (p *Plain) record(r *http.Request, body string) Faults {
@@ -115,7 +140,7 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		p.orders[body]++
 	}
-	return p.faults
+	return p.current()
 }
 
 func (p *Plain) ended() {
