--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -255,3 +255,51 @@
 	var identity *IdentityError
 	is.True(asError(err, &identity))
 }
+
+// Guards against a log in memory that is bounded in entries but not in bytes.
+func TestLogIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	const limit = 64 << 10
+	c := newCluster(t, func(o *Options) { o.CompactBytes = limit }, "a")
+	c.startAll()
+	for range 40 {
+		c.commit(string(make([]byte, 10<<10)))
+	}
+	c.converge()
+	r := c.members["a"].replica
+	is.NoErr(c.stop("a"))
+	size := 0
+	for _, e := range r.node.EntriesAfter(0) {
+		size += len(e.Data)
+	}
+	is.True(size <= limit+limit/4+(10<<10))
+	is.True(r.instruments.compactions.Get() >= 4)
+	c.start("a")
+	c.converge()
+	is.Equal(len(c.members["a"].machine.list()), 42)
+}
+
+// Guards against a replica that is ignored for ever because the wall clock, from which it took its
+// incarnation after the loss of its disk, had stepped back.
+func TestIncarnationFromSteppedClock(t *testing.T) {
+	is := is.New(t)
+	clock := uint64(1000)
+	c := newCluster(t, func(o *Options) { o.NewIncarnation = func() uint64 { return clock } }, "a", "b", "c")
+	c.startAll()
+	c.commit("first")
+	for _, name := range []string{"a", "c"} {
+		is.NoErr(c.stop(name))
+		c.loseDisk(name)
+		clock = 5
+		m := c.start(name)
+		c.await("a higher incarnation votes", func() bool {
+			id := m.replica.Identity()
+			configuration := m.replica.State().Node.Configuration
+			return id.Incarnation == 1001 && configuration.IsVoter(id) && len(configuration.Voters) == 3
+		})
+		is.NoErr(c.stop(name))
+		m = c.start(name) // The new identity is durable.
+		is.Equal(m.replica.Identity().Incarnation, uint64(1001))
+		c.converge()
+	}
+}
