entry: end the wait of a resend whose first attempt is over

Cause: a resend joined its first attempt until the join timeout of 30 s in two cases: the instance of the first attempt had died and restarted before it was counted as failed, and the keyed stream of a model engine had broken off for good, which was not reported to the owner of the key. Every later resend waited as long again. Change: request IDs name the incarnation of their instance, so that a later one shows that the attempt is lost. An attempt that brings no answer is reported as undetermined for model services too; a resend still tries to read the stream from the engine first, and the owner replaces undetermined by that answer.

--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -186,13 +186,22 @@
 	return live
 }
 
-// instanceGone reports whether an instance is known to have failed or left.
-func (i *Instance) instanceGone(name string) bool {
-	if i.exchange == nil || name == i.options.Name {
+// instanceGone reports whether an incarnation of an instance is known to have failed, left or been
+// replaced by a later one; incarnation 0 stands for any.
+func (i *Instance) instanceGone(name string, incarnation uint64) bool {
+	if name == i.options.Name {
+		return incarnation != 0 && incarnation != i.incarnation
+	}
+	if i.exchange == nil {
 		return false
 	}
-	state := i.instanceStates()[name]
-	return state == membership.StateFailed || state == membership.StateLeaving
+	for _, known := range i.exchange.Instances() {
+		if known.Name == name {
+			replaced := incarnation != 0 && known.Incarnation > incarnation
+			return replaced || known.State == membership.StateFailed || known.State == membership.StateLeaving
+		}
+	}
+	return false
 }
 
 func (i *Instance) instanceStates() map[string]membership.State {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -76,6 +76,7 @@
 		AnswerBytes: o.Limits.AnswerBytes,
 		OnLeaving:   i.engineSaysLeaving,
 
+		Incarnation:  i.incarnation,
 		InstanceGone: i.instanceGone,
 	})
 	i.poll = poll.New(poll.Options{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,10 +31,12 @@
 	Upstream    *upstream.Client
 	Logger      zerolog.Logger
 	Metrics     *metrics.Set
-	BodyBytes   int // largest request body
-	AnswerBytes int // answers up to this size are held until whole
-	// InstanceGone reports whether an instance is known to have failed or left; nil means never.
-	InstanceGone func(instance string) bool
+	BodyBytes   int    // largest request body
+	AnswerBytes int    // answers up to this size are held until whole
+	Incarnation uint64 // of the instance; grows with each start
+	// InstanceGone reports whether an incarnation of an instance is known to have failed, left or been
+	// replaced by a later one; incarnation 0 stands for any. nil means never.
+	InstanceGone func(instance string, incarnation uint64) bool
 	// OnLeaving is called when an engine's answer says that it takes no more work; it must not block.
 	OnLeaving func(engine string)
 }
@@ -111,7 +113,7 @@
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	x := &exchange{handler: h, id: newRequestID(), writer: w, incoming: r}
+	x := &exchange{handler: h, id: newRequestID(h.options.Incarnation), writer: w, incoming: r}
 	problem := x.serve()
 	if problem != nil {
 		x.outcome = problem.Outcome
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,7 +41,21 @@
 	abort   bool
 }
 
-func newRequestID() string { return strings.ToLower(rand.Text()) }
+// newRequestID names the incarnation of the instance, so that a resend can tell whether the first
+// attempt's instance has restarted and lost it.
+func newRequestID(incarnation uint64) string {
+	return strconv.FormatUint(incarnation, 36) + "-" + strings.ToLower(rand.Text())
+}
+
+// incarnationOf returns the incarnation that a request ID names, or 0.
+func incarnationOf(requestID string) uint64 {
+	text, _, _ := strings.Cut(requestID, "-")
+	incarnation, err := strconv.ParseUint(text, 36, 64)
+	if err != nil {
+		return 0
+	}
+	return incarnation
+}
 
 // authenticate finds the workspace under the configuration in force.
 func (x *exchange) authenticate() *Problem {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -152,7 +152,9 @@
 // join answers a resend whose key has begun or finished before.
 func (x *exchange) join(status ledger.Status) *Problem {
 	x.handler.count("joined_requests_total")
-	if status.State == ledger.StateInProgress && x.canResume(status) {
+	unanswered := status.State == ledger.StateInProgress ||
+		status.State == ledger.StateFinished && status.Outcome == ledger.OutcomeUndetermined
+	if unanswered && x.canResume(status) {
 		if problem, joined := x.joinStream(status); joined {
 			return problem
 		}
@@ -164,7 +166,7 @@
 func (x *exchange) awaitOutcome(status ledger.Status) *Problem {
 	deadline := time.Now().Add(joinTimeout)
 	for status.State == ledger.StateInProgress && time.Now().Before(deadline) {
-		if gone := x.handler.options.InstanceGone; gone != nil && gone(status.Holder) {
+		if gone := x.handler.options.InstanceGone; gone != nil && gone(status.Holder, incarnationOf(status.RequestID)) {
 			return problemUndetermined.with("the instance of the first attempt is gone")
 		}
 		select {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -238,6 +238,7 @@
 	r.exchange.abort = true
 	r.exchange.outcome = OutcomeUndetermined
 	r.finish.Result = scheduler.ResultFailed
+	r.exchange.storeUndetermined()
 }
 
 // callerGone stops the engine's work on an answer that nobody reads.
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/primrosebeam/primrosebeam/configuration"
 	"github.com/primrosebeam/primrosebeam/ledger"
 )
 
@@ -53,11 +52,11 @@
 	x.handler.count("unstored_answers_total")
 }
 
-// storeUndetermined tells the owner that no answer will come, so that resends do not wait for one.
-// The stream of a model engine may still be resumed and is left open.
+// storeUndetermined tells the owner that this attempt brings no answer, so that resends do not wait
+// for one. A resend that reads the whole stream from the engine later replaces this outcome.
 func (x *exchange) storeUndetermined() {
-	if x.key == nil || x.route.Service.Kind == configuration.KindModel {
-		return
+	if x.key == nil || x.key.fence == (ledger.Fence{}) {
+		return // Only the attempt that began may say so; one that joined it has no fence.
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.incoming.Context()), ledgerTimeout)
 	defer cancel()
