entry: tell not-run only after the key is finished

Cause: an order that was shed gave its claim back and was told not-run. The ledger's Release states that it is no promise to a caller. Change: the key is completed as not run before the caller is told so; when the owner does not confirm, the outcome is undetermined. A claim is only released when the caller has left and hears nothing. Conclusion: not-run holds against resends on their way, at the price of one synced record for each keyed request that is shed.

--- a/e2e/history_test.go
+++ b/e2e/history_test.go
@@ -60,14 +60,18 @@
 
 // send makes one attempt and records what its caller saw.
 func (h *history) send(ctx context.Context, m *member, key string) observation {
-	o := observation{through: m.name, started: time.Now()}
-	ctx, cancel := context.WithTimeout(ctx, hangBound)
-	defer cancel()
 	body := h.work
 	if h.kind.method == http.MethodGet {
 		body = ""
 	}
-	request, err := http.NewRequestWithContext(ctx, h.kind.method, "http://"+m.callers+h.target, strings.NewReader(body))
+	return h.sendBody(ctx, m, key, strings.NewReader(body))
+}
+
+func (h *history) sendBody(ctx context.Context, m *member, key string, body io.Reader) observation {
+	o := observation{through: m.name, started: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, hangBound)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, h.kind.method, "http://"+m.callers+h.target, body)
 	if err != nil {
 		panic(err)
 	}
--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -33,7 +35,11 @@
 }
 
 func order(address, key, body string) (answer, error) {
-	return send(address, http.MethodPost, "/orders", smallToken, body, map[string]string{entry.HeaderKey: key})
+	header := map[string]string{}
+	if key != "" {
+		header[entry.HeaderKey] = key
+	}
+	return send(address, http.MethodPost, "/orders", smallToken, body, header)
 }
 
 func outcomeOf(a answer) string {
@@ -200,3 +206,34 @@
 	is.Equal(borrowed.status, http.StatusBadRequest)
 	c.checkRan("foreign", 0, 0)
 }
+
+// Guards against a not-run that a resend on its way makes untrue: the resend was sent before the caller was told.
+func TestNotRunHoldsAgainstALateResend(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 1, queue: 1, inFlight: 1})
+	c.plain().steer(standin.PathFaults, standin.Faults{Hold: standin.HoldFirst})
+	var blockers sync.WaitGroup
+	for n := range 2 { // one runs, one fills the queue
+		blockers.Go(func() { _, _ = order(c.members[1].callers, "", fmt.Sprintf("blocker %d", n)) })
+		waitFor(t, "blockers", func() bool { return c.plain().counts().Held+c.members[1].waitingFor(t, "orders") > n })
+	}
+	h := newHistory(kinds[0], "shed order")
+	key := mint(t, c.members[0].callers)
+	reader, writer := io.Pipe()
+	resend := make(chan observation, 1)
+	go func() { resend <- h.sendBody(context.Background(), c.members[2], key, reader) }()
+	_, err := writer.Write([]byte(h.work[:1])) // its header has been read by the instance
+	is.NoErr(err)
+	told := h.send(context.Background(), c.members[1], key)
+	is.Equal(outcomeOf(told.answer), "not-run")
+	c.plain().steer(standin.PathFaults, standin.Faults{})
+	_, err = writer.Write([]byte(h.work[1:]))
+	is.NoErr(err)
+	is.NoErr(writer.Close())
+	h.observations = []observation{told, <-resend}
+	blockers.Wait()
+	h.runs = c.runsOf(h.work)
+	for _, breach := range h.check() {
+		t.Error(breach)
+	}
+}
--- a/e2e/matrix_test.go
+++ b/e2e/matrix_test.go
@@ -261,10 +261,13 @@
 }
 
 // waitingFor returns how many requests of a service wait at the entry.
-func (r *round) waitingFor(service string) int {
-	text, err := r.entry.operator(r.t).Text(context.Background(), "v1", "dump")
+func (r *round) waitingFor(service string) int { return r.entry.waitingFor(r.t, service) }
+
+func (m *member) waitingFor(t *testing.T, service string) int {
+	t.Helper()
+	text, err := m.operator(t).Text(context.Background(), "v1", "dump")
 	if err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
 	var dump struct {
 		Scheduler struct {
@@ -272,14 +275,14 @@
 		} `json:"scheduler"`
 	}
 	if err := json.Unmarshal(text, &dump); err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
 	for _, s := range dump.Scheduler.Services {
 		if s.Name == service {
 			return s.Waiting
 		}
 	}
-	r.t.Fatalf("no service %s in dump", service)
+	t.Fatalf("no service %s in dump", service)
 	return 0
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -114,21 +114,32 @@
 	return err
 }
 
-// giveUp reports whether it is certain that nothing ran and that nothing will under the claim of this exchange.
+// giveUp reports whether it is certain that nothing ran and that nothing will run under the key. A
+// mere release is not enough: a resend that is on its way could claim the key next and run.
 func (k *keyed) giveUp(ctx context.Context) bool {
 	if k == nil {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
 	defer cancel()
+	return k.complete(ctx, ledger.OutcomeNotRun, nil) == nil
+}
+
+// release gives an unused claim back without a promise to the caller, so that a resend may run. After
+// a begin that may have reached the owner the key can only be finished.
+func (k *keyed) release(ctx context.Context) {
+	if k == nil {
+		return
+	}
 	if k.began || k.lost {
-		// The owner may hold a begin, so that the key can only be finished.
-		return k.complete(ctx, ledger.OutcomeNotRun, nil) == nil
+		k.giveUp(ctx)
+		return
 	}
-	err := k.claimer.Release(ctx, ledger.ReleaseRequest{
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	_ = k.claimer.Release(ctx, ledger.ReleaseRequest{
 		Key: k.key, Workspace: k.workspace, Fence: k.fence, Holder: k.holder,
-	})
-	return err == nil
+	}) // A claim that is not given back is replaced by the next one.
 }
 
 func (k *keyed) complete(ctx context.Context, outcome ledger.Outcome, response *ledger.Response) error {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -30,7 +30,7 @@
 		decision := x.await(ticket)
 		switch {
 		case decision.Withdrawn():
-			return x.notRun(problemOverloaded.with("the caller has gone"))
+			return x.withdrawn()
 		case decision.Reject != nil:
 			return x.notRun(rejectProblem(decision.Reject))
 		}
@@ -53,6 +53,17 @@
 	}
 }
 
+// withdrawn ends a request whose caller left before dispatch. Nobody hears the outcome, and a resend
+// under the same key may still run.
+func (x *exchange) withdrawn() *Problem {
+	x.key.release(x.incoming.Context())
+	problem := problemOverloaded.with("the caller has gone")
+	if x.key != nil {
+		problem.Outcome = OutcomeUndetermined
+	}
+	return problem
+}
+
 func rejectProblem(reject *scheduler.Reject) *Problem {
 	var problem *Problem
 	switch reject.Reason {
