e2e: take ports below the ephemeral range

Cause: a port that was free when chosen could be taken by an outgoing connection before the instance listened; one run of the matrix failed with EADDRINUSE. Change: each test process counts upwards through ports 10000 to 29999. Conclusion: listeners no longer compete with outgoing connections.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -249,14 +250,28 @@
 	}
 }
 
+const (
+	firstPort = 10000
+	portCount = 20000 // all below the usual range of ephemeral ports, so that no outgoing connection takes one
+)
+
+// nextPort starts at a place of its own in each test process. A port is handed out once.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()) * 397) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) writeFile(name, text string) string {
