--- /dev/null
+++ b/e2e/runs_test.go
@@ -0,0 +1,37 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+)
+
+type run = standin.Run
+
+func (c *cluster) runLog(engine string) string { return filepath.Join(c.folder, engine+".runs") }
+
+// runsOf returns every start of a piece of work on all engines, including engines that crashed.
+func (c *cluster) runsOf(work string) []run {
+	c.t.Helper()
+	var runs []run
+	for _, e := range c.engines {
+		data, err := os.ReadFile(c.runLog(e.name))
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		for lines := bufio.NewScanner(bytes.NewReader(data)); lines.Scan(); {
+			var r run
+			if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+				c.t.Fatalf("run log of %s: %v", e.name, err)
+			}
+			if r.Work == work {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -114,21 +114,32 @@
 	return err
 }
 
-// giveUp reports whether it is certain that nothing ran and that nothing will under the claim of this exchange.
+// giveUp reports whether it is certain that nothing ran and that nothing will run under the key. A
+// mere release is not enough: a resend that is on its way could claim the key next and run.
 func (k *keyed) giveUp(ctx context.Context) bool {
 	if k == nil {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
 	defer cancel()
+	return k.complete(ctx, ledger.OutcomeNotRun, nil) == nil
+}
+
+// release gives an unused claim back without a promise to the caller, so that a resend may run. After
+// a begin that may have reached the owner the key can only be finished.
+func (k *keyed) release(ctx context.Context) {
+	if k == nil {
+		return
+	}
 	if k.began || k.lost {
-		// The owner may hold a begin, so that the key can only be finished.
-		return k.complete(ctx, ledger.OutcomeNotRun, nil) == nil
+		k.giveUp(ctx)
+		return
 	}
-	err := k.claimer.Release(ctx, ledger.ReleaseRequest{
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	_ = k.claimer.Release(ctx, ledger.ReleaseRequest{
 		Key: k.key, Workspace: k.workspace, Fence: k.fence, Holder: k.holder,
-	})
-	return err == nil
+	}) // A claim that is not given back is replaced by the next one.
 }
 
 func (k *keyed) complete(ctx context.Context, outcome ledger.Outcome, response *ledger.Response) error {
@@ -152,7 +163,9 @@
 // join answers a resend whose key has begun or finished before.
 func (x *exchange) join(status ledger.Status) *Problem {
 	x.handler.count("joined_requests_total")
-	if status.State == ledger.StateInProgress && x.canResume(status) {
+	unanswered := status.State == ledger.StateInProgress ||
+		status.State == ledger.StateFinished && status.Outcome == ledger.OutcomeUndetermined
+	if unanswered && x.canResume(status) {
 		if problem, joined := x.joinStream(status); joined {
 			return problem
 		}
@@ -164,7 +177,7 @@
 func (x *exchange) awaitOutcome(status ledger.Status) *Problem {
 	deadline := time.Now().Add(joinTimeout)
 	for status.State == ledger.StateInProgress && time.Now().Before(deadline) {
-		if gone := x.handler.options.InstanceGone; gone != nil && gone(status.Holder) {
+		if gone := x.handler.options.InstanceGone; gone != nil && gone(status.Holder, incarnationOf(status.RequestID)) {
 			return problemUndetermined.with("the instance of the first attempt is gone")
 		}
 		select {
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -18,6 +18,7 @@
 	kind := flags.String("kind", "model", "model or plain")
 	address := flags.String("address", "127.0.0.1:9100", "listening address")
 	interval := flags.Duration("interval", time.Millisecond, "time between tokens, or before a plain answer")
+	runs := flags.String("runs", "", "file that receives one line for each request before it runs; empty means none")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
@@ -25,7 +26,16 @@
 	if *kind == "plain" {
 		engine = NewPlain(*address, *interval)
 	}
-	server := &http.Server{Addr: *address, Handler: WithControl(engine), ReadHeaderTimeout: readHeaderTimeout}
+	handler := WithControl(engine)
+	if *runs != "" {
+		logged, err := logRuns(*runs, handler)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return 1
+		}
+		handler = logged
+	}
+	server := &http.Server{Addr: *address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	fmt.Fprintln(stderr, server.ListenAndServe())
 	return 1
 }
