Look ahead over the flows of a tier that are in turn

Change: the request that suits the open engines is sought among 32 of all flows of the tier that are not ahead of their share, instead of 16 of one flow; a freed place in a reserve likewise.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -56,7 +56,7 @@
 	if list == nil {
 		return false
 	}
-	e := s.lookAhead(sv, list)
+	e := s.lookAhead(sv, g, list)
 	m := s.choose(now, sv, e)
 	if m == nil {
 		return false
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -1,11 +1,14 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	reservePart     = 0.5 // part of a prompt that must be cached to use an engine's reserve
 	lowestReserve   = 0.1 // part of the reserve for the lowest tier: a flood of it that fills the reserves slows the streams of urgent requests
-	reserveRequests = 16  // waiting requests that are looked at when a place in a reserve becomes free
+	reserveRequests = 32  // waiting requests that are looked at when a place in a reserve becomes free
 )
 
 // sendHome dispatches a request that has just arrived and found no open engine to one that has its
@@ -14,7 +17,7 @@
 	if e.list == nil || e.service.plain() || e.service.mostUrgent() != e.flow.group {
 		return
 	}
-	if !e.flow.group.inTurn(e.flow, e) {
+	if !e.flow.inTurn(e, e.flow.group.leastTag()) {
 		return
 	}
 	c := reserveChoice{entry: e, most: reservePart * float64(e.request.PromptTokens)}
@@ -68,16 +71,20 @@
 	}
 }
 
-// inTurn reports whether a flow is ahead of its fair share by no more than the given request of it,
-// so that a workspace with cached prefixes cannot take the reserve from the others.
-func (g *group) inTurn(f *flow, e *entry) bool {
-	least := f.tag
-	for _, candidate := range g.active {
-		least = min(least, candidate.tag)
+// leastTag returns the smallest tag of the flows that wait.
+func (g *group) leastTag() float64 {
+	least := math.Inf(1)
+	for _, f := range g.active {
+		least = min(least, f.tag)
 	}
-	return f.tag <= least+e.cost/f.weight
+	return least
 }
 
+// inTurn reports whether a flow is ahead of its fair share by no more than the given request of it,
+// so that a workspace with cached prefixes cannot take the places of the others. least is the
+// smallest tag of the group.
+func (f *flow) inTurn(e *entry, least float64) bool { return f.tag <= least+e.cost/f.weight }
+
 // mostUrgent returns the highest tier of which a request waits, nil when none does.
 func (sv *service) mostUrgent() *group {
 	for _, g := range sv.groups {
@@ -103,9 +110,9 @@
 	if any {
 		most = -1
 	}
-	left := reserveRequests
+	left, least := reserveRequests, g.leastTag()
 	for _, f := range g.active {
-		for e := f.onTime.first; e != nil && left > 0 && g.inTurn(f, e); e = e.next {
+		for e := f.onTime.first; e != nil && left > 0 && f.inTurn(e, least); e = e.next {
 			left--
 			part := cachedTokens(m, e) / float64(max(e.request.PromptTokens, 1))
 			if part > most {
