--- a/engine/lifecycle.go
+++ b/engine/lifecycle.go
@@ -10,8 +10,7 @@
 }
 
 // Observe records a report on an incarnation. It returns true when the engine has restarted.
-// Reports on earlier incarnations are ignored. The first reported incarnation is the one that any
-// earlier Leave referred to.
+// Reports on earlier incarnations are ignored.
 func (l *Lifecycle) Observe(incarnation uint64, leaving, reachable bool) (restarted bool) {
 	if l.known && incarnation < l.Incarnation {
 		return false
@@ -27,8 +26,5 @@
 	return restarted
 }
 
-// Leave marks the present incarnation as leaving.
-func (l *Lifecycle) Leave() { l.Leaving = true }
-
 // Accepts reports whether the engine may be given new work.
 func (l *Lifecycle) Accepts() bool { return !l.Leaving && !l.Unreachable }
--- a/engine/limit.go
+++ b/engine/limit.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	initialLimit      = 8   // requests on a model engine until its speed is known
-	initialPlainLimit = 16  // requests on a plain engine until its speed is known
+	initialLimit      = 8  // requests on a model engine until its speed is known
+	initialPlainLimit = 16 // requests on a plain engine until its speed is known
+	lowestLimit       = 1
+	lowestPlainLimit  = 4
 	maximumLimit      = 512 // requests; bounds the growth without objectives
 	adjustEvery       = 500 * time.Millisecond
 	adjustSamples     = 12 // latencies that an adjustment needs: one of nine instances sees few, and each is noisy
@@ -17,6 +19,7 @@
 	missShare         = 0.1   // share of first tokens beyond their objective that lowers the limit
 	emptyDrift        = 0.005 // by which the latency of an empty engine may rise at each adjustment
 	approachWeight    = 0.1   // part of the way to the mean of all instances at each refresh
+	unnoticedLatency  = 0.02  // seconds; answers below it are no reason to lower the limit of a plain engine
 	usedShare         = 0.75  // a limit of which less is used is not raised: there is no evidence for it
 )
 
@@ -24,6 +27,7 @@
 // latencies exceed the objectives and rises while they are met and the limit is in use.
 type limit struct {
 	value     float64
+	lowest    float64
 	hard      float64
 	objective float64 // seconds between tokens, or per answer of a plain engine; 0 means none
 	empty     float64 // latency of an almost empty engine, in seconds
@@ -35,9 +39,10 @@
 }
 
 func newLimit(o Options) limit {
-	l := limit{value: initialLimit}
+	l := limit{value: initialLimit, lowest: lowestLimit}
 	if o.Plain {
 		l.value = initialPlainLimit
+		l.lowest = lowestPlainLimit
 	}
 	l.reconfigure(o)
 	return l
@@ -73,6 +78,12 @@
 	if waited < adjustEvery || l.samples < adjustSamples && waited < adjustAtLatest {
 		return
 	}
+	if l.samples == 0 && l.measured == 0 {
+		// Nothing was measured since the last adjustment: an idle engine must not be judged by old latencies again.
+		l.adjusted = now
+		l.peak = 0
+		return
+	}
 	l.samples = 0
 	l.observeEmpty(latency)
 	late := l.measured > 0 && float64(l.missed) > missShare*float64(l.measured)
@@ -82,16 +93,20 @@
 	case l.peak >= usedShare*l.value:
 		l.value += max(l.value*increaseFactor, 0.5)
 	}
-	l.value = min(max(l.value, 1), l.hard)
+	l.bound()
 	l.adjusted = now
 	l.peak, l.measured, l.missed = 0, 0, 0
 }
 
+// bound keeps the limit between its lowest value and the hard limit. A plain service keeps a few
+// places: with one, a single slow call would hold up every other.
+func (l *limit) bound() { l.value = min(max(l.value, l.lowest), l.hard) }
+
 // approach moves the limit towards the mean of all instances. Without it an instance whose share of
 // an engine has become 0 measures nothing and keeps a wrong limit for ever.
 func (l *limit) approach(mean float64) {
 	l.value += approachWeight * (mean - l.value)
-	l.value = min(max(l.value, 1), l.hard)
+	l.bound()
 }
 
 // observeEmpty keeps the lowest latency seen. It rises slowly, so that an engine that has become
@@ -109,7 +124,7 @@
 // when empty is held at the knee of its curve, since a limit of 1 would waste it.
 func (l *limit) target() float64 {
 	if l.objective == 0 {
-		return plainKneeFactor * l.empty
+		return max(plainKneeFactor*l.empty, unnoticedLatency)
 	}
 	return max(objectiveMargin*l.objective, kneeFactor*l.empty)
 }
--- a/engine/view.go
+++ b/engine/view.go
@@ -104,7 +104,7 @@
 	}
 	v.served(f)
 	f.lastToken = now
-	took := now.Sub(f.started) - 2*v.options.Distance
+	took := v.atEngine(now.Sub(f.started))
 	if v.options.Plain {
 		return
 	}
@@ -113,6 +113,12 @@
 	v.limit.firstToken(f.FirstToken, took, alone)
 }
 
+// atEngine takes the way to the engine and back off a measured time. A configured distance can be
+// larger than the real one, so at least half of the time is taken for the engine's.
+func (v *View) atEngine(took time.Duration) time.Duration {
+	return max(took-2*v.options.Distance, took/2)
+}
+
 func (v *View) served(f *Flight) {
 	f.prefilled = true
 	v.prefill = max(v.prefill-max(f.Prompt-f.Cached, 0), 0)
@@ -154,7 +160,7 @@
 	case Succeeded:
 		v.Health.Success(now)
 		if v.options.Plain {
-			took := now.Sub(f.started) - 2*v.options.Distance
+			took := v.atEngine(now.Sub(f.started))
 			v.speed.answered(took.Seconds(), f.occupancy)
 			v.limit.samples++
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// givenUp answers a request that waits no longer. After a first attempt on a route with redispatch
+// an engine may have run it.
+func (x *exchange) givenUp(problem *Problem) *Problem {
+	if x.sends == 0 {
+		return x.notRun(problem)
+	}
+	problem.Outcome = OutcomeUndetermined
+	return problem
+}
+
 // await returns the scheduler's decision; when the caller leaves first, the request is withdrawn.
 func (x *exchange) await(ticket *dispatch.Ticket) dispatch.Decision {
 	select {
--- a/scheduler/configure.go
+++ b/scheduler/configure.go
@@ -73,9 +73,6 @@
 		m.number = len(s.members)
 		m.services, m.openAt = nil, nil
 		m.drained = config.Drained
-		if config.Drained {
-			m.lifecycle.Leave()
-		}
 		options := s.engineOptions(config, blocks)
 		if m.view == nil {
 			m.view = engine.New(options)
