Carry learned limits between instances; judge late orders by the backlog

Cause: the fault matrix, cell slow engine, waited for ever. (1) The exchange dropped PeerLoad.Limit, and a missing limit counted as 0, so that every limit was pulled to 1 wherever another instance had a request in flight. (2) An urgent order was rejected as hopeless 218 ms after its arrival with a deadline of 30 s: it had missed the first-token objective of its tier, which says nothing about a plain service, and after the engine's pause a handful of requests looked like an overload. Change: summaries carry the limit, rounded; an unknown limit has no weight; a plain service has no first-token time; a late request is given up on only when the waiting work exceeds an eighth of its remaining time.

--- a/engine/view.go
+++ b/engine/view.go
@@ -225,7 +225,8 @@
 	Known    bool    // other instances have been heard of
 	InFlight float64 // requests in flight
 	Demand   float64 // requests in flight and this engine's part of those that wait
-	Limits   float64 // sum of their limits, each weighted with its requests in flight
+	Limits   float64 // sum of their known limits, each weighted with its requests in flight
+	Limiting float64 // requests in flight of those whose limit is known
 }
 
 // Peers records what the other instances have on the engine. Limits are averaged by requests in
@@ -234,9 +235,9 @@
 	v.load.peerInFlight = p.InFlight
 	v.share.peers = p.Demand
 	v.share.known = p.Known
-	if p.InFlight > 0 {
+	if p.Limiting > 0 {
 		own := float64(v.load.own)
-		v.limit.approach((p.Limits + own*v.limit.value) / (p.InFlight + own))
+		v.limit.approach((p.Limits + own*v.limit.value) / (p.Limiting + own))
 	}
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -143,9 +143,11 @@
 		}
 		return nil
 	}
-	is.NoErr(h.duties[a].PublishSummary(map[string]scheduler.PeerLoad{"e1": {InFlight: 3, Demand: 1}, "e2": {InFlight: 1}, "e3": {}}))
+	is.NoErr(h.duties[a].PublishSummary(map[string]scheduler.PeerLoad{
+		"e1": {InFlight: 3, Demand: 1, Limit: 7.6}, "e2": {InFlight: 1}, "e3": {},
+	}))
 	h.run(500 * time.Millisecond)
-	is.Equal(last(), map[string]scheduler.PeerLoad{"e1": {InFlight: 3, Demand: 1}, "e2": {InFlight: 1}})
+	is.Equal(last(), map[string]scheduler.PeerLoad{"e1": {InFlight: 3, Demand: 1, Limit: 8}, "e2": {InFlight: 1}})
 	is.NoErr(h.duties[a].PublishSummary(map[string]scheduler.PeerLoad{"e1": {InFlight: 4}}))
 	h.run(500 * time.Millisecond)
 	is.Equal(last(), map[string]scheduler.PeerLoad{"e1": {InFlight: 4}})
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -35,6 +35,7 @@
 	Engine   string
 	InFlight int
 	Demand   int
+	Limit    int // learned limit, rounded so that its small changes send no message; 0 when unknown
 }
 
 // origin identifies a message that is passed on, so that each instance takes it once.
--- a/internal/exchange/publish.go
+++ b/internal/exchange/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/link"
@@ -21,7 +22,9 @@
 	loads := make(map[string]engineLoad, len(engines))
 	for name, load := range engines {
 		if load.InFlight != 0 || load.Demand != 0 {
-			loads[name] = engineLoad{Engine: name, InFlight: load.InFlight, Demand: load.Demand}
+			loads[name] = engineLoad{
+				Engine: name, InFlight: load.InFlight, Demand: load.Demand, Limit: int(math.Round(load.Limit)),
+			}
 		}
 	}
 	return e.offer(input{message: ownSummary{loads: loads}})
@@ -95,7 +98,9 @@
 		case l.InFlight <= 0 && l.Demand <= 0:
 			delete(p.engines, l.Engine)
 		case len(p.engines) < maxEngines:
-			p.engines[l.Engine] = scheduler.PeerLoad{InFlight: max(0, l.InFlight), Demand: max(0, l.Demand)}
+			p.engines[l.Engine] = scheduler.PeerLoad{
+				InFlight: max(0, l.InFlight), Demand: max(0, l.Demand), Limit: float64(max(0, l.Limit)),
+			}
 		}
 	}
 	e.o.Deliver(scheduler.PeerSummary{Instance: from.Name, At: e.now, Engines: maps.Clone(p.engines)})
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -153,7 +153,7 @@
 }
 
 func difference(a, b engineLoad) int {
-	return abs(a.InFlight-b.InFlight) + abs(a.Demand-b.Demand)
+	return abs(a.InFlight-b.InFlight) + abs(a.Demand-b.Demand) + abs(a.Limit-b.Limit)
 }
 
 func abs(n int) int { return max(n, -n) }
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -13,7 +13,7 @@
 		e.deadline = e.arrived.Add(tier.Deadline)
 	}
 	e.startBy = time.Time{}
-	if tier.FirstToken > 0 {
+	if tier.FirstToken > 0 && !e.service.plain() {
 		e.startBy = e.arrived.Add(tier.FirstToken - e.service.firstTokenMargin(tier.FirstToken))
 	}
 }
@@ -89,6 +89,10 @@
 	s.wait(e, &e.flow.late)
 }
 
+// smallBacklog is the part of the remaining time that the waiting work must exceed before the rate of
+// arrivals counts: after a pause of an engine a handful of requests looks like an overload.
+const smallBacklog = 0.125
+
 // hopelessLate reports whether a late request cannot be expected to start in time: it is served
 // with what the arriving work of its own and higher tiers leaves over.
 func (e *entry) hopelessLate(now time.Time) bool {
@@ -96,6 +100,10 @@
 	if last.IsZero() || sv.places == 0 {
 		return false
 	}
+	backlog, remaining := sv.drain(sv.work(e.tier)), last.Sub(now).Seconds()
+	if backlog < remaining*smallBacklog {
+		return false
+	}
 	arriving := 0.0
 	for _, g := range sv.groups[:e.tier+1] {
 		arriving += g.arriving.perSecond(now)
@@ -104,5 +112,5 @@
 	if left <= 0 {
 		return true
 	}
-	return sv.drain(sv.work(e.tier))/left > last.Sub(now).Seconds()
+	return backlog/left > remaining
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -16,6 +16,7 @@
 	inFlight float64
 	demand   float64
 	limits   float64 // weighted with the requests in flight
+	limiting float64 // requests in flight of peers whose limit is known
 }
 
 // peerSummary replaces what is known of another instance. Engines that a summary does not name
@@ -43,7 +44,11 @@
 		if m := s.servers[name]; m != nil {
 			m.peers.inFlight = max(m.peers.inFlight+sign*float64(l.InFlight), 0)
 			m.peers.demand = max(m.peers.demand+sign*float64(l.Demand), 0)
+			if l.Limit <= 0 {
+				continue // Unknown: counted as 0 it would pull the own limit down.
+			}
 			m.peers.limits = max(m.peers.limits+sign*l.Limit*float64(l.InFlight), 0)
+			m.peers.limiting = max(m.peers.limiting+sign*float64(l.InFlight), 0)
 		}
 	}
 }
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -33,7 +33,7 @@
 	}
 	peerDemand := m.peers.inFlight + m.peers.demand/float64(spread)
 	m.view.Peers(engine.PeerView{
-		Known: len(s.peers) > 0, InFlight: m.peers.inFlight, Demand: peerDemand, Limits: m.peers.limits,
+		Known: len(s.peers) > 0, InFlight: m.peers.inFlight, Demand: peerDemand, Limits: m.peers.limits, Limiting: m.peers.limiting,
 	})
 	m.view.Refresh(now, demand)
 	m.updateOpen()
