--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -178,8 +179,11 @@
 	defer cancel()
 	lifecycle, err := w.manager.options.Upstream.FetchLifecycle(ctx, w.target.Name, w.target.URL)
 	if err != nil {
-		w.unreachable(err)
-		return
+		if !answered(err) {
+			w.unreachable(err)
+			return
+		}
+		lifecycle = upstream.Lifecycle{Incarnation: w.incarnation}
 	}
 	if lifecycle.Incarnation != w.incarnation {
 		w.incarnation = lifecycle.Incarnation
@@ -195,6 +199,14 @@
 	}
 }
 
+// answered reports whether an engine answered although not with its lifecycle: a plain service need
+// not offer one, and is reachable all the same.
+func answered(err error) bool {
+	var status *upstream.StatusError
+	var report *upstream.ReportError
+	return errors.As(err, &status) || errors.As(err, &report)
+}
+
 func (w *worker) unreachable(err error) {
 	w.manager.options.Metrics.GetOrCreateCounter("primrosebeam_poll_failures_total").Inc()
 	w.mu.Lock()
--- /dev/null
+++ b/internal/poll/poll_test.go
@@ -0,0 +1,176 @@
+package poll_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/poll"
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+	"github.com/primrosebeam/primrosebeam/internal/upstream"
+	"github.com/primrosebeam/primrosebeam/scheduler"
+)
+
+// recorder keeps the last state delivered and counts events.
+type recorder struct {
+	mu     sync.Mutex
+	state  scheduler.EngineState
+	events int
+}
+
+func (r *recorder) deliver(e scheduler.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events++
+	if state, ok := e.(scheduler.EngineState); ok {
+		r.state = state
+	}
+}
+
+func (r *recorder) last() scheduler.EngineState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func start(t testing.TB, url string, interval time.Duration, selected func(string) bool) (*poll.Manager, *recorder) {
+	r := &recorder{}
+	m := poll.New(poll.Options{
+		Upstream: upstream.New(), Interval: interval, Selected: selected, Deliver: r.deliver,
+		Logger: zerolog.New(io.Discard), Metrics: metrics.NewSet(),
+	})
+	m.SetTargets([]poll.Target{{Name: "e", URL: url, Model: true}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, r
+}
+
+func eventually(t *testing.T, what string, ready func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ready(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting for %s", what)
+		}
+	}
+}
+
+// Guards against a leaving or dead engine that the scheduler does not learn of.
+func TestLeavingAndUnreachableAreReported(t *testing.T) {
+	engine := standin.NewModel(standin.ModelOptions{})
+	server := httptest.NewServer(engine)
+	_, r := start(t, server.URL, 10*time.Millisecond, nil)
+	eventually(t, "a reachable engine", func() bool { return r.last().Reachable })
+	engine.SetLeaving(true)
+	eventually(t, "a leaving engine", func() bool { return r.last().Leaving })
+	server.CloseClientConnections()
+	server.Close()
+	eventually(t, "an unreachable engine", func() bool { return !r.last().Reachable })
+}
+
+// Guards against a plain service without a lifecycle or metrics that never gets work.
+func TestServiceWithoutLifecycleIsReachable(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	_, r := start(t, server.URL, 10*time.Millisecond, nil)
+	eventually(t, "a reachable service", func() bool { return r.last().Reachable })
+}
+
+// Guards against an instance that polls what others poll, and against an engine's own notice that waits for the next poll.
+func TestOnlySelectedEnginesArePolledUnlessHurried(t *testing.T) {
+	is := is.New(t)
+	engine := standin.NewModel(standin.ModelOptions{})
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	m, r := start(t, server.URL, 10*time.Millisecond, func(string) bool { return false })
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(r.last(), scheduler.EngineState{})
+	engine.SetLeaving(true)
+	m.Hurry("e")
+	eventually(t, "the hurried poll", func() bool { return r.last().Leaving })
+}
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkPoll reports bytes and processor time of one poll; the stand-in's own time is included.
+func BenchmarkPoll(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	counting := &countingListener{Listener: listener}
+	server := &http.Server{Handler: standin.NewModel(standin.ModelOptions{}), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(counting) }()
+	defer server.Close()
+	_, r := start(b, "http://"+listener.Addr().String(), time.Millisecond, nil)
+	count := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.events / 2 // a state and a load report for each poll
+	}
+	for count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	polls, bytes, processor := count(), counting.bytes.Load(), processorTime(b)
+	for b.Loop() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	n := float64(count() - polls)
+	b.ReportMetric(float64(counting.bytes.Load()-bytes)/n, "bytes/poll")
+	b.ReportMetric(float64((processorTime(b)-processor).Microseconds())/n, "cpu-us/poll")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -199,3 +200,21 @@
 		t.Fatalf("%.0f allocations for each request", n)
 	}
 }
+
+// BenchmarkMemory reports the heap of one scheduler with full engines and waiting requests.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []struct{ engines, waiting int }{{12, 0}, {12, benchWaiting}, {600, 0}, {600, benchWaiting}} {
+		b.Run(fmt.Sprintf("engines=%d/waiting=%d", size.engines, size.waiting), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				l := newLoad(size.engines, size.waiting)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KiB")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
