--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -119,6 +119,7 @@
 	operators string
 	instances string
 	roles     []string
+	diskless  bool
 }
 
 // engine is one stand-in engine of a cluster.
@@ -158,6 +159,7 @@
 	interval time.Duration
 	inFlight int // hard limit of each engine; 0 means adaptive only
 	queue    int // queueLimit of each tier; 0 means 1000
+	diskless int // members without a data folder, the last ones
 }
 
 // clusterSlots bounds the clusters that run at once, so that a busy machine does not look like a fault.
@@ -177,7 +179,7 @@
 		c.startEngine(fmt.Sprintf("plain-%d", n), "plain", o.interval)
 	}
 	for n := range o.members {
-		m := &member{name: fmt.Sprintf("instance-%d", n), centre: centres[n%len(centres)], roles: []string{}}
+		m := &member{name: fmt.Sprintf("instance-%d", n), centre: centres[n%len(centres)], roles: []string{}, diskless: n >= o.members-o.diskless}
 		m.callers, m.operators, m.instances = freeAddress(t), freeAddress(t), freeAddress(t)
 		if n < o.control {
 			m.roles = append(m.roles, "control")
@@ -300,12 +302,17 @@
 			})
 		}
 	}
-	return "// Settings of " + m.name + "\n" + toJSON(map[string]any{
+	settings := map[string]any{
 		"name": m.name, "dataCentre": m.centre, "roles": m.roles, "peers": peers,
 		"listen":     map[string]string{"callers": m.callers, "operators": m.operators, "instances": m.instances},
 		"dataFolder": m.name, "sharedKeyFile": "shared.key", "operatorTokenFile": "operator.token",
 		"initialConfiguration": "configuration.jsonc",
-	})
+	}
+	if m.diskless {
+		delete(settings, "dataFolder")
+		delete(settings, "initialConfiguration")
+	}
+	return "// Settings of " + m.name + "\n" + toJSON(settings)
 }
 
 func (c *cluster) configuration() string {
--- a/e2e/runs_test.go
+++ b/e2e/runs_test.go
@@ -16,6 +16,10 @@
 
 // runsOf returns every start of a piece of work on all engines, including engines that crashed.
 func (c *cluster) runsOf(work string) []run {
+	return c.runsWhere(func(r run) bool { return r.Work == work })
+}
+
+func (c *cluster) runsWhere(selected func(run) bool) []run {
 	c.t.Helper()
 	var runs []run
 	for _, e := range c.engines {
@@ -28,7 +32,7 @@
 			if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
 				c.t.Fatalf("run log of %s: %v", e.name, err)
 			}
-			if r.Work == work {
+			if selected(r) {
 				runs = append(runs, r)
 			}
 		}
