--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -187,8 +187,8 @@
 	return live
 }
 
-// instanceGone reports whether an incarnation of an instance is known to have failed, left or been
-// replaced by a later one; incarnation 0 stands for any.
+// instanceGone reports whether an incarnation of an instance is known to have failed or been replaced
+// by a later one; incarnation 0 stands for any. One that is leaving still finishes its requests.
 func (i *Instance) instanceGone(name string, incarnation uint64) bool {
 	if name == i.options.Name {
 		return incarnation != 0 && incarnation != i.incarnation
@@ -199,7 +199,7 @@
 	for _, known := range i.exchange.Instances() {
 		if known.Name == name {
 			replaced := incarnation != 0 && known.Incarnation > incarnation
-			return replaced || known.State == membership.StateFailed || known.State == membership.StateLeaving
+			return replaced || known.State == membership.StateFailed
 		}
 	}
 	return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,7 +35,7 @@
 	BodyTimeout time.Duration // longest time to read a request body; 0 means no bound
 	AnswerBytes int           // answers up to this size are held until whole
 	Incarnation uint64        // of the instance; grows with each start
-	// InstanceGone reports whether an incarnation of an instance is known to have failed, left or been
+	// InstanceGone reports whether an incarnation of an instance is known to have failed or been
 	// replaced by a later one; incarnation 0 stands for any. nil means never.
 	InstanceGone func(instance string, incarnation uint64) bool
 	// OnLeaving is called when an engine's answer says that it takes no more work; it must not block.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -185,5 +185,7 @@
 			is.Equal(calls, 1)
 		}
 		is.True(calls <= 2)
+		// The second attempt finds no engine; the first may have run the request.
+		is.True(response.Header.Get(entry.HeaderOutcome) != string(entry.OutcomeNotRun))
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -32,7 +32,7 @@
 		case decision.Withdrawn():
 			return x.withdrawn()
 		case decision.Reject != nil:
-			return x.notRun(rejectProblem(decision.Reject))
+			return x.givenUp(rejectProblem(decision.Reject))
 		}
 		x.engine = decision.Engine
 		problem, again := x.attempt(ticket)
