--- a/scheduler/scenario/targets_test.go
+++ b/scheduler/scenario/targets_test.go
@@ -73,6 +73,13 @@
 	atMostLess(t, "goodput", one, over(ours(t, "nine instances"), (*measured).goodPerSecond).mean, instancesCost)
 }
 
+// Guards against instances that use the engines worse than one would when more is asked than they can do.
+func TestNineInstancesBeyondSaturation(t *testing.T) {
+	one := over(ours(t, "saturated x1.5"), (*measured).goodPerSecond).mean
+	nine := over(ours(t, "nine instances, x1.5"), (*measured).goodPerSecond).mean
+	atMostLess(t, "goodput", one, nine, instancesCost)
+}
+
 // Guards against a collapse of the goodput beyond saturation, in requests and in output tokens: more
 // load brings more short urgent requests, so that requests alone could hide one.
 func TestBeyondSaturation(t *testing.T) {
