Keep a stopping owner open for waiting claims; never tell not-run before the key was looked at

Cause: a planned stop of a key's owner cut orders that waited elsewhere under a claim; a resend refused before its key was looked at (by a stopping instance, for example) was told not-run although the first attempt may have run. Change: a stopping owner waits up to 10 s until no claim waits; refusals of requests with a key are undetermined until the owner was asked.

--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -237,3 +237,24 @@
 		t.Error(breach)
 	}
 }
+
+// Guards against a planned stop of a key's owner that cuts orders which wait at other instances.
+func TestPlannedStopOfAnOwnerServesClaimedOrders(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, clusterOptions{members: 3, plains: 1, control: 3, ledgers: 1, inFlight: 1})
+	c.plain().steer(standin.PathFaults, standin.Faults{Delay: time.Second})
+	go func() { _, _ = send(c.members[1].callers, http.MethodPost, "/orders", largeToken, "blocker", nil) }()
+	waitFor(t, "busy engine", func() bool { return c.plain().counts().Orders["blocker"] == 1 })
+	key := mint(t, c.members[1].callers)
+	waiting := make(chan answer, 1)
+	go func() {
+		a, _ := order(c.members[1].callers, key, "claimed order")
+		waiting <- a
+	}()
+	waitFor(t, "the claimed order to wait", func() bool { return c.members[1].waitingFor(t, "orders") == 1 })
+	c.members[0].signal(syscall.SIGTERM)
+	is.Equal(outcomeOf(<-waiting), "answered")
+	is.Equal(c.members[0].waitExit(startTimeout), 0)
+	c.checkRan("claimed order", 1, 1)
+}
--- a/instance/run.go
+++ b/instance/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // group runs duties and collects the first failure.
@@ -114,6 +115,33 @@
 	}
 	if err != nil {
 		i.options.Logger.Error().Int("requests", i.dispatch.Active()).Msg("stop forced: requests were cut")
+		return err
+	}
+	i.awaitClaims(force)
+	return nil
+}
+
+const (
+	// claimsGrace bounds how long a stopping owner waits for requests that other instances hold claims for.
+	claimsGrace    = 10 * time.Second
+	claimsInterval = 20 * time.Millisecond
+)
+
+// awaitClaims keeps the ledger open until no claim waits for its begin: without the owner these
+// requests could not be dispatched although they were admitted.
+func (i *Instance) awaitClaims(force context.Context) {
+	if i.owner == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(force, claimsGrace)
+	defer cancel()
+	started := time.Now() // A state published before may miss the newest claims.
+	for state := i.owner.State(); state.Ledger.Claims > 0 || state.PublishedAt.Before(started); state = i.owner.State() {
+		select {
+		case <-time.After(claimsInterval):
+		case <-ctx.Done():
+			i.options.Logger.Warn().Int("claims", i.owner.State().Ledger.Claims).Msg("ledger closed with claims that wait")
+			return
+		}
 	}
-	return err
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,11 +107,22 @@
 		return x.serveKeys()
 	}
 	if problem := x.classify(); problem != nil {
-		return problem
+		return x.beforeClaim(problem)
 	}
 	return x.run()
 }
 
+// beforeClaim returns the answer to a request that is refused before its key was looked at. An
+// earlier attempt under the key may have run, so not-run must not be told.
+func (x *exchange) beforeClaim(problem *Problem) *Problem {
+	if x.incoming.Header.Get(HeaderKey) == "" {
+		return problem
+	}
+	unknown := *problem
+	unknown.Outcome = OutcomeUndetermined
+	return &unknown
+}
+
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	x := &exchange{handler: h, id: newRequestID(h.options.Incarnation), writer: w, incoming: r}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -160,6 +160,26 @@
 	is.Equal(response.Header.Get(entry.HeaderOutcome), string(entry.OutcomeNotRun))
 }
 
+// Guards against not-run being told to a resend that is refused before its key was looked at: the
+// first attempt under the key may have run.
+func TestRefusalOfAKeyedRequestIsUndetermined(t *testing.T) {
+	is := is.New(t)
+	url := serve(t, func(http.ResponseWriter, *http.Request) { t.Error("reached the engine") }, configuration.Route{Path: "/x"})
+	for key, want := range map[string]entry.Outcome{"": entry.OutcomeNotRun, "key": entry.OutcomeUndetermined} {
+		request, err := http.NewRequest(http.MethodPost, url+"/x", strings.NewReader(strings.Repeat("x", 2<<10)))
+		is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer "+token)
+		if key != "" {
+			request.Header.Set(entry.HeaderKey, key)
+		}
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusRequestEntityTooLarge)
+		is.Equal(response.Header.Get(entry.HeaderOutcome), string(want))
+	}
+}
+
 // breaking answers the first request with a broken answer and the next ones whole.
 func breaking(calls *int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -43,7 +43,7 @@
 		return nil, false
 	}
 	if x.handler.options.Keys == nil {
-		return problemNoLedger.with(""), true
+		return x.beforeClaim(problemNoLedger.with("")), true
 	}
 	k := &keyed{
 		claimer:   x.handler.options.Keys,
