Use cmp.Or for defaults and one list of instances by role

Change: cmp.Or where zero alone means the default; withRole serves both lists. The copies that also replace negative values stay as they are. Conclusion: no change of behaviour.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 )
@@ -59,20 +60,14 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.ElectionTicks, DefaultElectionTicks)
-	setDefault(&o.HeartbeatTicks, DefaultHeartbeatTicks)
-	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&o.MaxInflight, DefaultMaxInflight)
-	setDefault(&o.MaxUncommitted, DefaultMaxUncommitted)
-	setDefault(&o.MaxEntryBytes, DefaultMaxEntryBytes)
-	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
-	setDefault(&o.MaxReads, DefaultMaxReads)
-}
-
-func setDefault(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
+	o.ElectionTicks = cmp.Or(o.ElectionTicks, DefaultElectionTicks)
+	o.HeartbeatTicks = cmp.Or(o.HeartbeatTicks, DefaultHeartbeatTicks)
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	o.MaxInflight = cmp.Or(o.MaxInflight, DefaultMaxInflight)
+	o.MaxUncommitted = cmp.Or(o.MaxUncommitted, DefaultMaxUncommitted)
+	o.MaxEntryBytes = cmp.Or(o.MaxEntryBytes, DefaultMaxEntryBytes)
+	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPendingBytes)
+	o.MaxReads = cmp.Or(o.MaxReads, DefaultMaxReads)
 }
 
 // Node is one replica of the log. It is not safe for concurrent use.
--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -157,16 +157,23 @@
 	return claims.NewClient(options)
 }
 
-// ledgerOwners lists the owners that the settings name, this instance first.
+// withRole lists the instances that the settings name for a role, this one first.
+func (i *Instance) withRole(has func(Roles) bool) []Peer {
+	self := Peer{Name: i.options.Name, DataCentre: i.options.DataCentre, Roles: i.options.Roles}
+	var named []Peer
+	for _, peer := range append([]Peer{self}, i.options.Peers...) {
+		if has(peer.Roles) {
+			named = append(named, peer)
+		}
+	}
+	return named
+}
+
+// ledgerOwners lists the owners of idempotency keys.
 func (i *Instance) ledgerOwners() []claims.OwnerInfo {
 	var owners []claims.OwnerInfo
-	if i.options.Roles.Ledger {
-		owners = append(owners, claims.OwnerInfo{Name: i.options.Name, DataCentre: i.options.DataCentre})
-	}
-	for _, peer := range i.options.Peers {
-		if peer.Roles.Ledger {
-			owners = append(owners, claims.OwnerInfo{Name: peer.Name, DataCentre: peer.DataCentre})
-		}
+	for _, peer := range i.withRole(func(r Roles) bool { return r.Ledger }) {
+		owners = append(owners, claims.OwnerInfo{Name: peer.Name, DataCentre: peer.DataCentre})
 	}
 	return owners
 }
@@ -213,16 +220,11 @@
 	return states
 }
 
-// replicas lists the control replicas that the settings name.
+// replicas lists the control replicas.
 func (i *Instance) replicas() []control.Peer {
 	var replicas []control.Peer
-	if i.options.Roles.Control {
-		replicas = append(replicas, control.Peer{Name: i.options.Name, DataCentre: i.options.DataCentre})
-	}
-	for _, peer := range i.options.Peers {
-		if peer.Roles.Control {
-			replicas = append(replicas, control.Peer{Name: peer.Name, DataCentre: peer.DataCentre})
-		}
+	for _, peer := range i.withRole(func(r Roles) bool { return r.Control }) {
+		replicas = append(replicas, control.Peer{Name: peer.Name, DataCentre: peer.DataCentre})
 	}
 	return replicas
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -66,11 +67,11 @@
 	if o.Instance == "" || o.Directory == "" || o.StateMachine == nil || o.Transport == nil {
 		return &OptionsError{Detail: "instance, directory, state machine and transport are required"}
 	}
-	setDefault(&o.TickInterval, DefaultTickInterval)
-	setDefault(&o.CompactEntries, DefaultCompactEntries)
-	setDefault(&o.CompactBytes, DefaultCompactBytes)
-	setDefault(&o.KeepEntries, DefaultKeepEntries)
-	setDefault(&o.RingCapacity, DefaultRingCapacity)
+	o.TickInterval = cmp.Or(o.TickInterval, DefaultTickInterval)
+	o.CompactEntries = cmp.Or(o.CompactEntries, DefaultCompactEntries)
+	o.CompactBytes = cmp.Or(o.CompactBytes, DefaultCompactBytes)
+	o.KeepEntries = cmp.Or(o.KeepEntries, DefaultKeepEntries)
+	o.RingCapacity = cmp.Or(o.RingCapacity, DefaultRingCapacity)
 	if o.Random == nil {
 		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -82,10 +83,3 @@
 	}
 	return nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -125,21 +126,14 @@
 }
 
 func (s *Settings) setDefaults() {
-	setDefault(&s.Limits.HeaderBytes, defaultHeaderBytes)
-	setDefault(&s.Limits.BodyBytes, defaultBodyBytes)
-	setDefault(&s.Limits.AnswerBytes, defaultAnswerBytes)
-	setDefault(&s.Limits.Connections, defaultConnections)
-	setDefault(&s.Limits.Requests, defaultRequests)
-	setDefault(&s.Limits.ReadTimeout, strictjson.Duration(defaultReadTimeout))
-	setDefault(&s.StopTimeout, strictjson.Duration(defaultStopTimeout))
-	setDefault(&s.Log.Level, defaultLogLevel)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.Limits.HeaderBytes = cmp.Or(s.Limits.HeaderBytes, defaultHeaderBytes)
+	s.Limits.BodyBytes = cmp.Or(s.Limits.BodyBytes, defaultBodyBytes)
+	s.Limits.AnswerBytes = cmp.Or(s.Limits.AnswerBytes, defaultAnswerBytes)
+	s.Limits.Connections = cmp.Or(s.Limits.Connections, defaultConnections)
+	s.Limits.Requests = cmp.Or(s.Limits.Requests, defaultRequests)
+	s.Limits.ReadTimeout = cmp.Or(s.Limits.ReadTimeout, strictjson.Duration(defaultReadTimeout))
+	s.StopTimeout = cmp.Or(s.StopTimeout, strictjson.Duration(defaultStopTimeout))
+	s.Log.Level = cmp.Or(s.Log.Level, defaultLogLevel)
 }
 
 func (s *Settings) validate(at *strictjson.Document) {
