Give up at the deadline on engines that accept a request and stay silent

Cause: a request on a silent engine waited for the attempt's bound of ten minutes. Change: until the first byte, a request that does not outlive its caller is cancelled at its tier's deadline, answered late (504, undetermined), and counted against the engine.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	x := &exchange{handler: h, id: newRequestID(h.options.Incarnation), writer: w, incoming: r}
+	x := &exchange{handler: h, id: newRequestID(h.options.Incarnation), writer: w, incoming: r, arrived: started}
 	problem := x.serve()
 	if problem != nil {
 		x.outcome = problem.Outcome
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,6 +24,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/entry"
 	"github.com/primrosebeam/primrosebeam/internal/upstream"
 	"github.com/primrosebeam/primrosebeam/scheduler"
+	"github.com/primrosebeam/primrosebeam/strictjson"
 )
 
 const token = "token-of-the-test"
@@ -35,7 +36,7 @@
 	t.Cleanup(backend.Close)
 	sum := sha256.Sum256([]byte(token))
 	view, err := configuration.Resolve(1, &configuration.Document{
-		Tiers:      []configuration.Tier{{Name: "urgent", QueueLimit: 10}, {Name: "batch", QueueLimit: 10}},
+		Tiers:      []configuration.Tier{{Name: "urgent", QueueLimit: 10, Deadline: strictjson.Duration(500 * time.Millisecond)}, {Name: "batch", QueueLimit: 10}},
 		TierRules:  []configuration.TierRule{{When: "work!=report", Tier: "urgent"}},
 		Workspaces: []configuration.Workspace{{Name: "w", TokenSHA256: []string{hex.EncodeToString(sum[:])}}},
 		Services:   []configuration.Service{{Name: "s", Kind: configuration.KindPlain, RetryBudget: 1, Routes: []configuration.Route{route}}},
@@ -180,6 +181,20 @@
 	}
 }
 
+// Guards against a lookup that waits beyond its deadline for an engine that accepts it and stays silent.
+func TestSilentEngineIsGivenUpOnAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	url := serve(t, func(http.ResponseWriter, *http.Request) { <-release }, configuration.Route{Path: "/x"})
+	defer close(release)
+	started := time.Now()
+	response, body := do(t, http.MethodGet, url+"/x", "")
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.True(strings.Contains(body, "urn:primrosebeam:problem:late"))
+	is.Equal(response.Header.Get(entry.HeaderOutcome), string(entry.OutcomeUndetermined))
+	is.True(time.Since(started) < 5*time.Second) // the attempt's own bound is ten minutes
+}
+
 // breaking answers the first request with a broken answer and the next ones whole.
 func breaking(calls *int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
@@ -35,7 +36,9 @@
 	stream    bool   // the caller asked for events
 	key       *keyed // nil without an idempotency key
 
-	sends   int // attempts of which a byte may have reached an engine
+	arrived time.Time
+	expired atomic.Bool // the deadline passed before the first byte of the answer
+	sends   int         // attempts of which a byte may have reached an engine
 	engine  string
 	outcome Outcome
 	status  int
@@ -190,3 +193,25 @@
 	}
 	return context.WithTimeout(parent, maxAttempt)
 }
+
+// boundFirstByte cancels the attempt when the tier's deadline passes before the engine begins to
+// answer, so that an engine which accepts requests and stays silent holds nobody. Requests that
+// outlive their caller are left alone: breaking them off would not tell whether they ran.
+func (x *exchange) boundFirstByte(cancel context.CancelFunc) *time.Timer {
+	deadline := x.view.Document().Tiers[x.tier].Deadline.Std()
+	if deadline <= 0 || x.outlivesCaller() {
+		return nil
+	}
+	return time.AfterFunc(time.Until(x.arrived.Add(deadline)), func() {
+		x.expired.Store(true)
+		cancel()
+	})
+}
+
+// attemptEnded tells the scheduler how an attempt without a whole answer ended.
+func (x *exchange) attemptEnded(ctx context.Context) scheduler.Result {
+	if ctx.Err() != nil && !x.expired.Load() {
+		return scheduler.ResultCancelled
+	}
+	return scheduler.ResultFailed
+}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,7 +8,6 @@
 	"github.com/primrosebeam/primrosebeam/configuration"
 	"github.com/primrosebeam/primrosebeam/internal/upstream"
 	"github.com/primrosebeam/primrosebeam/ledger"
-	"github.com/primrosebeam/primrosebeam/scheduler"
 )
 
 // canResume reports whether the answer of the first attempt can be read from its engine.
@@ -82,14 +80,6 @@
 	return !r.exchange.outlivesCaller()
 }
 
-// attemptEnded reports how the attempt of a request without an answer ended.
-func attemptEnded(ctx context.Context) scheduler.Result {
-	if ctx.Err() != nil {
-		return scheduler.ResultCancelled
-	}
-	return scheduler.ResultFailed
-}
-
 // writeBody writes to the caller unless it has gone.
 func (r *relay) writeBody(data []byte) error {
 	if r.callerLost {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -74,6 +74,7 @@
 	problemUndetermined  = newProblem(http.StatusConflict, "undetermined", "It cannot be known whether the request ran.", OutcomeUndetermined)
 	problemLedger        = newProblem(http.StatusServiceUnavailable, "ledger-unavailable", "The owner of the key cannot be asked.", OutcomeUndetermined)
 	problemAnswerNotKept = newProblem(http.StatusConflict, "answer-not-kept", "The request ran and was answered; the answer is no longer kept.", OutcomeAnswered)
+	problemLate          = newProblem(http.StatusGatewayTimeout, "late", "The engine did not begin to answer before the deadline.", OutcomeUndetermined)
 	problemBroken        = newProblem(http.StatusBadGateway, "broken-answer", "The engine's answer broke off or was not its own.", OutcomeUndetermined)
 )
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -25,14 +25,17 @@
 
 // relay carries one engine's answer to the caller.
 type relay struct {
-	exchange   *exchange
-	ticket     *dispatch.Ticket // nil when the first attempt's stream is joined
-	response   *http.Response
-	owner      string // request ID that every event must carry
-	finish     scheduler.Finish
-	copy       copyBuffer // of a stream, for the owner of the key
-	started    bool       // the first byte was reported
-	callerLost bool       // the answer is read to its end without the caller
+	exchange *exchange
+	ticket   *dispatch.Ticket // nil when the first attempt's stream is joined
+	response *http.Response
+	owner    string // request ID that every event must carry
+	finish   scheduler.Finish
+	copy     copyBuffer // of a stream, for the owner of the key
+	started  bool       // the first byte was reported
+
+	firstByteTimer *time.Timer // see boundFirstByte; may be nil
+
+	callerLost bool // the answer is read to its end without the caller
 }
 
 // run returns a problem only while nothing was written to the caller.
@@ -95,6 +98,9 @@
 		return
 	}
 	r.started = true
+	if r.firstByteTimer != nil {
+		r.firstByteTimer.Stop()
+	}
 	r.ticket.FirstToken()
 }
 
@@ -264,9 +270,12 @@
 func (r *relay) broken(ctx context.Context, err error) *Problem {
 	x := r.exchange
 	x.handler.options.Logger.Warn().Str("request", x.id).Str("engine", x.engine).Err(err).Msg("answer broke off")
-	r.finish.Result = attemptEnded(ctx)
+	r.finish.Result = x.attemptEnded(ctx)
 	if ctx.Err() != nil {
 		x.cancelUpstream()
+		if x.expired.Load() {
+			return problemLate.with("")
+		}
 		return problemBroken.with("the caller has gone")
 	}
 	x.storeUndetermined()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -93,6 +93,10 @@
 func (x *exchange) attempt(ticket *dispatch.Ticket) (problem *Problem, again bool) {
 	ctx, cancel := x.attemptContext()
 	defer cancel()
+	timer := x.boundFirstByte(cancel)
+	if timer != nil {
+		defer timer.Stop()
+	}
 	if x.outlivesCaller() {
 		x.handler.detached.Add(1)
 		defer x.handler.detached.Done()
@@ -106,7 +110,7 @@
 	}
 	defer response.Body.Close()
 	x.noticeLeaving(response)
-	relay := &relay{exchange: x, ticket: ticket, response: response, owner: x.attemptID()}
+	relay := &relay{exchange: x, ticket: ticket, response: response, owner: x.attemptID(), firstByteTimer: timer}
 	problem = relay.run(ctx)
 	if problem != nil && relay.finish.Result == scheduler.ResultFailed && x.mayRedispatch() {
 		ticket.Refused()
@@ -188,8 +192,11 @@
 	if ctx.Err() != nil {
 		x.cancelUpstream()
 	}
-	ticket.Finish(scheduler.Finish{Result: attemptEnded(ctx)})
+	ticket.Finish(scheduler.Finish{Result: x.attemptEnded(ctx)})
 	x.storeUndetermined()
+	if x.expired.Load() {
+		return problemLate.with(""), false
+	}
 	return problemBroken.with("the engine may have run the request"), false
 }
 
@@ -198,7 +205,7 @@
 func (x *exchange) nothingSent(ctx context.Context, ticket *dispatch.Ticket) (problem *Problem, again bool) {
 	x.sends--
 	if ctx.Err() != nil || x.key != nil && x.key.began {
-		ticket.Finish(scheduler.Finish{Result: attemptEnded(ctx)})
+		ticket.Finish(scheduler.Finish{Result: x.attemptEnded(ctx)})
 		return x.notRun(problemNoEngine.with("the engine could not be reached")), false
 	}
 	ticket.Refused()
