--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -38,7 +38,7 @@
 	s.requests[r.ID] = e
 	s.enqueue(now, e, sv, workspace)
 	e.flow.group.arriving.add(now, e.cost)
-	if s.hopeless(now, e) {
+	if s.missesDeadline(now, e) {
 		s.reject(e, RejectDeadline)
 		return
 	}
--- a/scheduler/homes.go
+++ b/scheduler/affinity.go
@@ -1,33 +1,33 @@
 package scheduler
 
 const (
-	homeSlots   = 1 << 14
-	homeEngines = 4 // engines remembered for one block
+	tableSlots  = 1 << 14
+	slotEngines = 4 // engines remembered for one block
 )
 
-// homes remembers for prompt blocks which engines were last given them, so that the engines with
+// prefixTable remembers for prompt blocks which engines were last given them, so that the engines with
 // a prefix are found among hundreds without looking into each one's index. It is a fixed table in
 // which a new block replaces the former one of its slot. Of each prompt only the blocks whose
 // position is a power of two are entered.
-type homes struct {
-	slots []home
+type prefixTable struct {
+	slots []prefixSlot
 }
 
-type home struct {
+type prefixSlot struct {
 	block   uint64
-	engines [homeEngines]int32 // index into Scheduler.members plus 1; 0 is empty
+	engines [slotEngines]int32 // index into Scheduler.members plus 1; 0 is empty
 }
 
-func (h *homes) reset() { h.slots = nil }
+func (h *prefixTable) reset() { h.slots = nil }
 
-func (h *homes) slot(block uint64) *home { return &h.slots[(block>>32^block)%homeSlots] }
+func (h *prefixTable) slot(block uint64) *prefixSlot { return &h.slots[(block>>32^block)%tableSlots] }
 
-func (h *homes) add(blocks []uint64, member int) {
+func (h *prefixTable) add(blocks []uint64, member int) {
 	if len(blocks) == 0 {
 		return
 	}
 	if h.slots == nil {
-		h.slots = make([]home, homeSlots)
+		h.slots = make([]prefixSlot, tableSlots)
 	}
 	for i := 1; i <= len(blocks); i *= 2 {
 		h.slot(blocks[i-1]).enter(blocks[i-1], int32(member+1))
@@ -35,9 +35,9 @@
 }
 
 // enter moves the engine to the front of the block's engines.
-func (h *home) enter(block uint64, number int32) {
+func (h *prefixSlot) enter(block uint64, number int32) {
 	if h.block != block {
-		*h = home{block: block}
+		*h = prefixSlot{block: block}
 	}
 	carried := number
 	for i := range h.engines {
@@ -49,27 +49,27 @@
 }
 
 const (
-	homePart   = 0.5 // part of a prompt that its home is assumed to have cached
-	homeProbes = 3   // engines that are tried as home before there is none
-	homeBlocks = 4   // the home depends on a block within the first three quarters of a prompt
+	affinityPart   = 0.5 // part of a prompt that the engine with affinity is assumed to have cached
+	affinityProbes = 3   // engines that are tried before the prompt has no affinity
+	affinityBlocks = 4   // affinity depends on a block within the first three quarters of a prompt
 )
 
-// home returns the engine to which every instance sends a prompt that no engine has cached, nil for
+// affinity returns the engine to which every instance sends a prompt that no engine has cached, nil for
 // requests without a prefix. Instances learn of each other's prompts only from the cache events, and
 // until then each would compute a popular prefix on another engine. The end of a prompt is left
 // out, since it rarely occurs twice, and the position is a power of two, so that a conversation
-// keeps its home while it grows.
-func (sv *service) home(e *entry) *server {
+// keeps its engine while it grows.
+func (sv *service) affinity(e *entry) *server {
 	blocks := e.request.Prefix
-	if len(blocks) < homeBlocks || len(sv.members) == 0 {
+	if len(blocks) < affinityBlocks || len(sv.members) == 0 {
 		return nil
 	}
 	position := 1
-	for position*2 <= len(blocks)*(homeBlocks-1)/homeBlocks {
+	for position*2 <= len(blocks)*(affinityBlocks-1)/affinityBlocks {
 		position *= 2
 	}
 	hash := blocks[position-1]
-	for range homeProbes {
+	for range affinityProbes {
 		hash ^= hash >> 31
 		hash *= 0x9e3779b97f4a7c15 // spreads hashes whose low bits are alike
 		if m := sv.members[(hash>>32)%uint64(len(sv.members))]; m.accepts() {
@@ -80,9 +80,9 @@
 }
 
 // find returns the engines of the longest known part of a prompt.
-func (h *homes) find(blocks []uint64) [homeEngines]int32 {
+func (h *prefixTable) find(blocks []uint64) [slotEngines]int32 {
 	if h.slots == nil || len(blocks) == 0 {
-		return [homeEngines]int32{}
+		return [slotEngines]int32{}
 	}
 	last := 1
 	for last*2 <= len(blocks) {
@@ -93,5 +93,5 @@
 			return slot.engines
 		}
 	}
-	return [homeEngines]int32{}
+	return [slotEngines]int32{}
 }
--- a/scheduler/configure.go
+++ b/scheduler/configure.go
@@ -82,7 +82,7 @@
 		s.servers[config.Name] = m
 		s.members = append(s.members, m)
 	}
-	s.homes.reset()
+	s.prefixes.reset()
 }
 
 func (s *Scheduler) engineOptions(config Engine, blocks int) engine.Options {
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -27,8 +27,8 @@
 	return e.deadline.Add(-e.service.fastest(e.output))
 }
 
-// hopeless reports whether a waiting request would miss its deadline even if nothing else arrived.
-func (s *Scheduler) hopeless(now time.Time, e *entry) bool {
+// missesDeadline reports whether a waiting request would miss its deadline even if nothing else arrived.
+func (s *Scheduler) missesDeadline(now time.Time, e *entry) bool {
 	last := e.lastStart()
 	if last.IsZero() {
 		return false
@@ -81,7 +81,7 @@
 // turnLate makes a request wait behind those that can meet their objective, or gives up on it when
 // these leave no engine time before its deadline.
 func (s *Scheduler) turnLate(now time.Time, e *entry) {
-	if e.hopelessLate(now) {
+	if e.cannotStartInTime(now) {
 		s.reject(e, RejectDeadline)
 		return
 	}
@@ -93,9 +93,9 @@
 // arrivals counts: after a pause of an engine a handful of requests looks like an overload.
 const smallBacklog = 0.125
 
-// hopelessLate reports whether a late request cannot be expected to start in time: it is served
+// cannotStartInTime reports whether a late request cannot be expected to start in time: it is served
 // with what the arriving work of its own and higher tiers leaves over.
-func (e *entry) hopelessLate(now time.Time) bool {
+func (e *entry) cannotStartInTime(now time.Time) bool {
 	last, sv := e.lastStart(), e.service
 	if last.IsZero() || sv.places == 0 {
 		return false
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -68,20 +68,20 @@
 // choose returns the open engine with the least expected completion time, nil when every one has
 // refused the request.
 func (s *Scheduler) choose(now time.Time, sv *service, e *entry) *server {
-	c := choice{scheduler: s, now: now, entry: e, home: sv.home(e)}
+	c := choice{scheduler: s, now: now, entry: e, affinity: sv.affinity(e)}
 	if len(sv.members) <= evaluateAll {
 		for _, m := range sv.members {
-			c.considerHome(m)
+			c.considerAffinity(m)
 		}
 		return c.best
 	}
-	for _, number := range s.homes.find(e.request.Prefix) {
+	for _, number := range s.prefixes.find(e.request.Prefix) {
 		if number > 0 && s.members[number-1].serves(sv) {
-			c.considerHome(s.members[number-1])
+			c.considerAffinity(s.members[number-1])
 		}
 	}
-	if c.home != nil {
-		c.considerHome(c.home)
+	if c.affinity != nil {
+		c.considerAffinity(c.affinity)
 	}
 	for range sampled {
 		c.consider(sv.open[s.rand.IntN(len(sv.open))])
@@ -100,13 +100,13 @@
 	scheduler *Scheduler
 	now       time.Time
 	entry     *entry
-	home      *server // counts as having part of the prefix
+	affinity  *server // counts as having part of the prefix
 	best      *server
 	expected  float64
 }
 
-// considerHome considers an engine that is open, or has a place in its reserve and the prefix.
-func (c *choice) considerHome(m *server) {
+// considerAffinity considers an engine that is open, or has a place in its reserve and the prefix.
+func (c *choice) considerAffinity(m *server) {
 	if !m.accepts() {
 		return
 	}
@@ -127,8 +127,8 @@
 	}
 	prompt := float64(e.request.PromptTokens)
 	cached := cachedTokens(m, e)
-	if m == c.home {
-		cached = max(cached, homePart*prompt)
+	if m == c.affinity {
+		cached = max(cached, affinityPart*prompt)
 	}
 	expected := float64(m.view.Expected(c.now, prompt, cached, e.output))
 	expected *= 1 + choiceJitter*c.scheduler.rand.Float64()
@@ -163,7 +163,7 @@
 	s.grant(sv, g, e.charged)
 	m.view.Start(now, &e.flight)
 	m.view.Prefix.Add(e.request.Prefix)
-	s.homes.add(e.request.Prefix, m.number)
+	s.prefixes.add(e.request.Prefix, m.number)
 	m.updateOpen()
 	s.inFlight++
 	s.counters.Dispatched++
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -26,7 +26,7 @@
 			c.consider(m)
 		}
 	} else {
-		for _, number := range s.homes.find(e.request.Prefix) {
+		for _, number := range s.prefixes.find(e.request.Prefix) {
 			if number > 0 && s.members[number-1].serves(e.service) {
 				c.consider(s.members[number-1])
 			}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -34,7 +34,7 @@
 	floors     floors
 	peers      map[string]*peer
 	budgets    map[budgetKey]*budget
-	homes      homes
+	prefixes   prefixTable
 	waiting    []int // requests by tier
 	inFlight   int
 	sequence   uint64
