Weight waiting work by tier when instances divide an engine

Cause: at load 1.5 nine instances with queues of their own lost goodput in the higher tiers: one that held batch work only kept its share of an engine while urgent work waited at another. Change: demand counts a waiting request of a tier four times one of the next.

--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -78,7 +78,7 @@
 	for _, m := range s.members {
 		l := PeerLoad{InFlight: m.view.InFlight()}
 		for _, sv := range m.services {
-			l.Demand += sv.waiting
+			l.Demand += sv.demand()
 		}
 		if l != (PeerLoad{}) {
 			l.Limit = m.view.Limit()
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -28,7 +28,7 @@
 	demand := float64(m.view.InFlight())
 	spread := 1
 	for _, sv := range m.services {
-		demand += float64(sv.waiting) / float64(max(sv.usable, 1))
+		demand += float64(sv.demand()) / float64(max(sv.usable, 1))
 		spread = max(spread, sv.usable)
 	}
 	peerDemand := m.peers.inFlight + m.peers.demand/float64(spread)
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -182,3 +182,18 @@
 	factor := 1 - retryJitter + 2*retryJitter*s.rand.Float64()
 	return time.Duration(float64(after) * factor)
 }
+
+// tierDemand is by how much a waiting request of a tier counts for more than one of the next tier
+// when instances divide an engine. With equal weights an instance that holds only batch work would
+// dispatch it while urgent work waits at another.
+const tierDemand = 4
+
+// demand returns the waiting requests, weighted by tier.
+func (sv *service) demand() int {
+	demand, weight := 0, 1
+	for tier := len(sv.groups) - 1; tier >= 0; tier-- {
+		demand += weight * sv.groups[tier].waiting
+		weight *= tierDemand
+	}
+	return demand
+}
