--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -114,7 +114,7 @@
 // PeerLoad is the load of one other instance on one engine.
 type PeerLoad struct {
 	InFlight int
-	Demand   int     // requests that wait for a service that this engine serves
+	Demand   int     // requests that wait for a service that this engine serves, weighted by tier
 	Limit    float64 // learned concurrency limit over all instances; 0 when unknown
 }
 
