--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -90,7 +90,7 @@
 			HeaderBytes: s.Limits.HeaderBytes, BodyBytes: s.Limits.BodyBytes, AnswerBytes: s.Limits.AnswerBytes,
 			Connections: s.Limits.Connections, Requests: s.Limits.Requests, ReadTimeout: s.Limits.ReadTimeout.Std(),
 		},
-		Logger: zerolog.New(logOutput).Level(level).With().Timestamp().Str("instance", s.Name).Str("dataCentre", s.DataCentre).Logger(),
+		Logger: zerolog.New(zerolog.SyncWriter(logOutput)).Level(level).With().Timestamp().Str("instance", s.Name).Str("dataCentre", s.DataCentre).Logger(),
 	}
 	for _, p := range s.Peers {
 		options.Peers = append(options.Peers, instance.Peer{
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -59,7 +59,8 @@
 		return nil, err
 	}
 	defer engines.close()
-	fleet, err := startFleet(folder, engines, o.Log)
+	// The instances log from many goroutines; a plain io.Writer need not allow that.
+	fleet, err := startFleet(folder, engines, zerolog.SyncWriter(o.Log))
 	if err != nil {
 		return nil, err
 	}
