Report cache events from the stand-in by the instances' block hashes

Cause: the stand-in's cache events were always empty, so that the way from an engine's cache to the prefix index was not exercised.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/prompt"
 	"github.com/primrosebeam/primrosebeam/label"
 	"github.com/primrosebeam/primrosebeam/scheduler"
 )
@@ -32,7 +33,7 @@
 	labels    label.Set
 	tier      int
 	body      []byte
-	estimate  estimate
+	estimate  prompt.Estimate
 	stream    bool   // the caller asked for events
 	key       *keyed // nil without an idempotency key
 
@@ -136,11 +137,11 @@
 	if x.route.Service.Kind != configuration.KindModel || len(body) == 0 {
 		return nil
 	}
-	var request completion
+	var request prompt.Request
 	if err := json.Unmarshal(body, &request); err != nil {
 		return problemBody.with(err.Error())
 	}
-	x.estimate = request.estimate()
+	x.estimate = request.Estimate()
 	x.stream = request.Stream
 	return nil
 }
@@ -173,9 +174,9 @@
 		Labels:       x.labels,
 		Idempotent:   x.route.Idempotent,
 		Redispatch:   x.route.Redispatch && x.route.Idempotent,
-		PromptTokens: x.estimate.promptTokens,
-		OutputTokens: x.estimate.outputTokens,
-		Prefix:       x.estimate.prefix,
+		PromptTokens: x.estimate.PromptTokens,
+		OutputTokens: x.estimate.OutputTokens,
+		Prefix:       x.estimate.Blocks,
 	}
 }
 
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +29,7 @@
 type recorder struct {
 	mu     sync.Mutex
 	state  scheduler.EngineState
+	caches []scheduler.CacheEvents
 	events int
 }
 
@@ -33,11 +37,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events++
-	if state, ok := e.(scheduler.EngineState); ok {
-		r.state = state
+	switch e := e.(type) {
+	case scheduler.EngineState:
+		r.state = e
+	case scheduler.CacheEvents:
+		r.caches = append(r.caches, e)
 	}
 }
 
+func (r *recorder) cached() []scheduler.CacheEvents {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.caches)
+}
+
 func (r *recorder) last() scheduler.EngineState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -86,6 +99,28 @@
 	eventually(t, "an unreachable engine", func() bool { return !r.last().Reachable })
 }
 
+// Guards against cache changes that are lost, repeated or numbered wrongly between polls.
+func TestCacheChangesAreDeliveredOnce(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(standin.NewModel(standin.ModelOptions{}))
+	defer server.Close()
+	_, r := start(t, server.URL, 10*time.Millisecond, nil)
+	for n := range 3 {
+		body := fmt.Sprintf(`{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"%d%s"}]}`, n, strings.Repeat("long prompt ", 100))
+		for range 2 { // the second one finds everything cached
+			response, err := http.Post(server.URL+"/v1/chat/completions", "application/json", strings.NewReader(body))
+			is.NoErr(err)
+			response.Body.Close()
+		}
+		eventually(t, "the change", func() bool { return len(r.cached()) == n+1 })
+	}
+	time.Sleep(50 * time.Millisecond)
+	for n, event := range r.cached() {
+		is.Equal(event.First, uint64(n+1))
+		is.True(len(event.Changes[0].Stored) > 3)
+	}
+}
+
 // Guards against a plain service without a lifecycle or metrics that never gets work.
 func TestServiceWithoutLifecycleIsReachable(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
--- a/internal/entry/estimate.go
+++ b/internal/prompt/prompt.go
@@ -1,4 +1,7 @@
-package entry
+// Package prompt reads OpenAI-compatible requests: what they are expected to cost an engine, and the
+// hashes of their prompt's blocks, by which prefix caches are compared. Engines report their cache
+// in the same hashes; one that uses others needs an adapter.
+package prompt
 
 import (
 	"encoding/json"
@@ -6,6 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// BlockTokens is the number of tokens that one block is taken to have.
+const BlockTokens = blockBytes / bytesPerToken
+
 const (
 	bytesPerToken       = 4   // English and German text average about four bytes a token
 	blockBytes          = 256 // one block of the prefix index, about 64 tokens
@@ -14,8 +20,8 @@
 	maxOutputTokens     = 1 << 20
 )
 
-// completion is the part of an OpenAI-compatible request that the estimate needs.
-type completion struct {
+// Request is the part of an OpenAI-compatible request that the estimate needs.
+type Request struct {
 	Model               string          `json:"model"`
 	Stream              bool            `json:"stream"`
 	MaxTokens           int             `json:"max_tokens"`
@@ -27,28 +33,29 @@
 	} `json:"messages"`
 }
 
-// estimate is what a request is expected to cost an engine.
-type estimate struct {
-	promptTokens int
-	outputTokens int
-	prefix       []uint64
+// Estimate is what a request is expected to cost an engine.
+type Estimate struct {
+	PromptTokens int
+	OutputTokens int      // the request's bound, or a common length
+	Blocks       []uint64 // chained hashes of the prompt's blocks, first block first
 }
 
-func (c *completion) estimate() estimate {
-	hasher := newPrefixHasher(c.Model)
-	hasher.add(c.Prompt)
-	for _, message := range c.Messages {
+// Estimate returns the expected cost of the request.
+func (r *Request) Estimate() Estimate {
+	hasher := newPrefixHasher(r.Model)
+	hasher.add(r.Prompt)
+	for _, message := range r.Messages {
 		hasher.add([]byte(message.Role))
 		hasher.add(message.Content)
 	}
-	output := max(c.MaxTokens, c.MaxCompletionTokens)
+	output := max(r.MaxTokens, r.MaxCompletionTokens)
 	if output <= 0 {
 		output = defaultOutputTokens
 	}
-	return estimate{
-		promptTokens: hasher.total/bytesPerToken + 1,
-		outputTokens: min(output, maxOutputTokens),
-		prefix:       hasher.blocks,
+	return Estimate{
+		PromptTokens: hasher.total/bytesPerToken + 1,
+		OutputTokens: min(output, maxOutputTokens),
+		Blocks:       hasher.blocks,
 	}
 }
 
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/primrosebeam/primrosebeam/internal/prompt"
 )
 
 // Faults switches on misbehaviour of a stand-in. Counters hold how many requests are affected.
@@ -27,7 +29,7 @@
 type ModelOptions struct {
 	Name          string
 	TokenInterval time.Duration // between two tokens of a stream
-	PrefillRate   int           // prompt bytes per millisecond; 0 means at once
+	PrefillRate   int           // prompt tokens per millisecond; 0 means at once
 }
 
 // Model is a stand-in for a model engine with an OpenAI-compatible interface, resumable streams,
@@ -36,6 +38,8 @@
 	options ModelOptions
 	switches
 
+	cache *cache
+
 	mu       sync.Mutex
 	leaving  bool
 	runs     map[string]int
@@ -56,7 +60,7 @@
 
 // NewModel returns a model engine.
 func NewModel(o ModelOptions) *Model {
-	return &Model{options: o, runs: map[string]int{}, streams: map[string]*generation{}}
+	return &Model{options: o, cache: newCache(), runs: map[string]int{}, streams: map[string]*generation{}}
 }
 
 // SetLeaving makes the engine announce that it takes no more work.
@@ -89,22 +93,14 @@
 	case r.URL.Path == "/v1/lifecycle":
 		m.serveLifecycle(w)
 	case r.URL.Path == "/v1/cache-events":
-		writeJSON(w, http.StatusOK, map[string]any{"first": 1, "changes": []any{}})
+		m.cache.serve(w, r)
 	default:
 		writeJSON(w, http.StatusNotFound, map[string]string{"error": "not found"})
 	}
 }
 
-type completionRequest struct {
-	Stream    bool `json:"stream"`
-	MaxTokens int  `json:"max_tokens"`
-	Messages  []struct {
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
 func (m *Model) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	var request completionRequest
+	var request prompt.Request
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "malformed JSON"})
 		return
@@ -115,11 +111,9 @@
 		writeJSON(w, http.StatusInternalServerError, map[string]string{"error": "engine failed"})
 		return
 	}
-	prompt := 0
-	for _, message := range request.Messages {
-		prompt += len(message.Content)
-	}
-	g := m.generate(id, max(1, request.MaxTokens), prompt)
+	estimate := request.Estimate()
+	cached := min(m.cache.use(estimate.Blocks)*prompt.BlockTokens, estimate.PromptTokens)
+	g := m.generate(id, max(1, request.MaxTokens), estimate.PromptTokens-cached)
 	if !g.wait(r.Context(), request.Stream) {
 		if !request.Stream && !m.current().IgnoreCancel {
 			g.cancel()
@@ -137,7 +131,10 @@
 	writeJSON(w, http.StatusOK, map[string]any{
 		"id":      g.id,
 		"choices": []any{map[string]any{"message": map[string]string{"role": "assistant", "content": g.text()}}},
-		"usage":   map[string]int{"prompt_tokens": prompt / 4, "completion_tokens": max(1, request.MaxTokens)},
+		"usage": map[string]any{
+			"prompt_tokens": estimate.PromptTokens, "completion_tokens": max(1, request.MaxTokens),
+			"prompt_tokens_details": map[string]int{"cached_tokens": cached},
+		},
 	})
 }
 
@@ -149,7 +146,7 @@
 }
 
 // generate produces the events of a request in the background, as an engine with batching does.
-func (m *Model) generate(id string, tokens, promptBytes int) *generation {
+func (m *Model) generate(id string, tokens, promptTokens int) *generation {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &generation{id: id, changed: make(chan struct{}), cancel: cancel}
 	m.mu.Lock()
@@ -158,7 +155,7 @@
 	m.mu.Unlock()
 	delay := m.current().Delay
 	if m.options.PrefillRate > 0 {
-		delay += time.Duration(promptBytes/m.options.PrefillRate) * time.Millisecond
+		delay += time.Duration(promptTokens/m.options.PrefillRate) * time.Millisecond
 	}
 	go func() {
 		defer cancel()
