Measure both readings of at most once under an engine crash

Change: a test with lookups in flight on an engine that is killed, with and without redispatch on their route. Conclusion: the strict reading stays the default.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -139,6 +139,9 @@
 	inFlight int
 	links    map[linkName]*forwarder // between instances
 	queue    int                     // queueLimit of each tier
+
+	redispatch bool // lookups may go to a second engine
+
 }
 
 // linkName is the direction in which one instance dials another.
@@ -160,6 +163,8 @@
 	inFlight int // hard limit of each engine; 0 means adaptive only
 	queue    int // queueLimit of each tier; 0 means 1000
 	diskless int // members without a data folder, the last ones
+
+	redispatch bool // lookups may go to a second engine
 }
 
 // clusterSlots bounds the clusters that run at once, so that a busy machine does not look like a fault.
@@ -171,7 +176,7 @@
 	t.Helper()
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
-	c := &cluster{t: t, folder: t.TempDir(), inFlight: o.inFlight, queue: cmp.Or(o.queue, 1000)}
+	c := &cluster{t: t, folder: t.TempDir(), inFlight: o.inFlight, queue: cmp.Or(o.queue, 1000), redispatch: o.redispatch}
 	for n := range o.models {
 		c.startEngine(fmt.Sprintf("model-%d", n), "model", o.interval)
 	}
@@ -332,8 +337,8 @@
 	}
 	if c.has("plain") {
 		services = append(services, map[string]any{
-			"name": "orders", "kind": "plain", "engines": "kind=plain",
-			"routes": []any{map[string]any{"path": "/orders"}, map[string]any{"path": "/status/"}},
+			"name": "orders", "kind": "plain", "engines": "kind=plain", "retryBudget": c.retryBudget(),
+			"routes": []any{map[string]any{"path": "/orders"}, map[string]any{"path": "/status/", "methods": []string{"GET"}, "redispatch": c.redispatch}},
 		})
 	}
 	return toJSON(map[string]any{
@@ -356,6 +361,14 @@
 	})
 }
 
+// retryBudget lets every lookup go to a second engine where that is allowed at all.
+func (c *cluster) retryBudget() float64 {
+	if c.redispatch {
+		return 1
+	}
+	return 0
+}
+
 func (c *cluster) has(kind string) bool {
 	for _, e := range c.engines {
 		if e.kind == kind {
--- /dev/null
+++ b/e2e/redispatch_test.go
@@ -0,0 +1,61 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/primrosebeam/primrosebeam/internal/standin"
+)
+
+const lookupsInFlight = 12 // on two engines
+
+// Guards against a lookup that runs on a second engine although its route does not allow it, and
+// against one that is given up on although it does. The outcomes of both readings are logged.
+func TestLookupsUnderAnEngineCrash(t *testing.T) {
+	for _, allowed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("redispatch=%t", allowed), func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, clusterOptions{members: 1, plains: 2, control: 1, redispatch: allowed})
+			for _, e := range c.engines {
+				e.steer(standin.PathFaults, standin.Faults{Hold: standin.HoldFirst})
+			}
+			var lookups []<-chan reply
+			for n := range lookupsInFlight {
+				lookups = append(lookups, inBackground(func() (answer, error) {
+					return send(c.members[0].callers, http.MethodGet, fmt.Sprintf("/status/%d", n), smallToken, "", nil)
+				}))
+			}
+			crashed, other := c.engines[0], c.engines[1]
+			waitFor(t, "lookups at both engines", func() bool {
+				return crashed.counts().Held+other.counts().Held == lookupsInFlight && crashed.counts().Held > 0
+			})
+			lost := crashed.counts().Held
+			crashed.kill()
+			other.steer(standin.PathFaults, standin.Faults{})
+			outcomes := map[string]int{}
+			for _, lookup := range lookups {
+				r := <-lookup
+				if r.err != nil {
+					t.Fatal(r.err)
+				}
+				outcomes[outcomeOf(r.answer)]++
+			}
+			t.Logf("%d of %d lookups were on the engine that crashed: %v", lost, lookupsInFlight, outcomes)
+			want := map[string]int{"answered": lookupsInFlight - lost, "undetermined": lost}
+			if allowed {
+				want = map[string]int{"answered": lookupsInFlight, "undetermined": 0}
+			}
+			for outcome, n := range want {
+				if outcomes[outcome] != n {
+					t.Errorf("%d lookups were %s, want %d", outcomes[outcome], outcome, n)
+				}
+			}
+			for id, runs := range other.counts().Runs {
+				if runs != 1 {
+					t.Errorf("%s ran %d times on one engine", id, runs)
+				}
+			}
+		})
+	}
+}
