Tell the outcome of large answers at their end; drop forged outcome headers

Cause: an answer above answerBytes said answered before it was whole, and lost the engine's trailers; an engine's own Primrosebeam-Outcome reached the caller of a stream. Change: large answers carry the outcome as a trailer, as streams do; headers of engines that begin with Primrosebeam- are dropped.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -93,6 +93,7 @@
 		w.Header().Set("X-Kept", "yes")
 		w.Header().Set("Connection", "X-Hop")
 		w.Header().Set("X-Hop", "dropped")
+		w.Header().Set(entry.HeaderOutcome, "forged")
 		switch r.URL.Query().Get("kind") {
 		case "empty":
 			w.WriteHeader(http.StatusNoContent)
@@ -110,8 +111,10 @@
 	is.Equal(empty.Header.Get("Content-Length"), "")
 	is.Equal(empty.Header.Get("X-Kept"), "yes")
 	is.Equal(empty.Header.Get("X-Hop"), "")
-	_, body = do(t, http.MethodPost, url+"/any/x?kind=large", "")
+	answer, body := do(t, http.MethodPost, url+"/any/x?kind=large", "")
 	is.Equal(body, large)
+	is.Equal(answer.Header.Get(entry.HeaderOutcome), "") // it is not known before the end
+	is.Equal(answer.Trailer.Get(entry.HeaderOutcome), string(entry.OutcomeAnswered))
 	trailer, body := do(t, http.MethodGet, url+"/any/x?kind=trailer", "")
 	is.Equal(body, "body")
 	is.Equal(trailer.Trailer.Get("X-Sum"), "1")
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -64,10 +64,8 @@
 	if !errors.Is(err, io.EOF) {
 		return false
 	}
-	x := r.exchange
-	x.outcome = OutcomeAnswered
-	x.writer.Header().Set(HeaderOutcome, string(OutcomeAnswered))
-	x.store(r.stored(r.copy.data, r.copy.omitted))
+	r.endStream()
+	r.exchange.store(r.stored(r.copy.data, r.copy.omitted))
 	return true
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
@@ -74,19 +75,55 @@
 		r.writeWhole(start)
 		return nil
 	}
-	r.writeHeader(-1, OutcomeAnswered)
+	r.relayLarge(start)
+	return nil
+}
+
+// relayLarge passes on an answer that is too large to be held. Whether it is whole is known only at
+// its end, so the outcome is a trailer.
+func (r *relay) relayLarge(start []byte) {
+	r.announceTrailers(HeaderOutcome)
+	r.writeHeader(-1, "")
 	if err := r.writeBody(start); err != nil {
 		r.callerGone()
-		return nil
+		return
 	}
 	if err := r.copyBody(); err != nil {
 		r.cut()
-		return nil
+		return
 	}
+	r.writeTrailers()
+	r.endStream()
 	r.exchange.store(r.stored(nil, true))
-	return nil
 }
 
+// announceTrailers declares the engine's trailers and further ones before the header is written.
+func (r *relay) announceTrailers(further ...string) {
+	header := r.exchange.writer.Header()
+	for name := range r.response.Trailer {
+		header.Add("Trailer", name)
+	}
+	for _, name := range further {
+		header.Add("Trailer", name)
+	}
+}
+
+// writeTrailers passes on the engine's trailers, which are complete once the body was read.
+func (r *relay) writeTrailers() {
+	for name, values := range r.response.Trailer {
+		r.exchange.writer.Header()[name] = values
+	}
+}
+
+// endStream tells the outcome of an answer that was passed on as it came.
+func (r *relay) endStream() {
+	r.exchange.outcome = OutcomeAnswered
+	r.exchange.writer.Header().Set(HeaderOutcome, string(OutcomeAnswered))
+}
+
+// isReserved reports whether a header of an engine's answer would be taken for one of the instance.
+func isReserved(name string) bool { return strings.HasPrefix(name, "Primrosebeam-") }
+
 // mayHaveBody reports whether an answer of this status has a body (RFC 9110, section 6.4.1).
 func mayHaveBody(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
@@ -114,10 +151,7 @@
 }
 
 func (r *relay) writeWhole(body []byte) {
-	header := r.exchange.writer.Header()
-	for name := range r.response.Trailer {
-		header.Add("Trailer", name)
-	}
+	r.announceTrailers()
 	length := len(body)
 	if len(r.response.Trailer) > 0 {
 		length = -1 // Trailers need a chunked body.
@@ -126,15 +160,13 @@
 	if r.exchange.incoming.Method != http.MethodHead {
 		_ = r.writeBody(body)
 	}
-	for name, values := range r.response.Trailer {
-		header[name] = values
-	}
+	r.writeTrailers()
 }
 
 func (r *relay) writeHeader(length int, outcome Outcome) {
 	x := r.exchange
 	header := x.writer.Header()
-	upstream.ForwardHeader(header, r.response.Header, nil)
+	upstream.ForwardHeader(header, r.response.Header, isReserved)
 	header.Del("Content-Length")
 	if length >= 0 && x.incoming.Method != http.MethodHead && mayHaveBody(r.response.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(length))
@@ -166,8 +198,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			x.outcome = OutcomeAnswered
-			x.writer.Header().Set(HeaderOutcome, string(OutcomeAnswered))
+			r.endStream()
 			x.store(r.stored(nil, true))
 			return
 		case err != nil:
