Remove dead code and a bound that stood twice

Cause: the last read of the whole change found a hook that nobody sets, a check that cannot be met, a copy of answers collected beyond what the owner keeps, and the same start in seven tests of control. Change: OnCancel and the repeated begin are gone; the copy is bounded by ledger.DefaultResponseBytes; settledCentres starts those tests; the parts of a fixed configuration stand in one file. No assertion or bound changes. Conclusion: no change of behaviour.

--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -360,9 +360,3 @@
 	}
 	return i.control
 }
-
-// fixedControl serves an instance without control replicas.
-type fixedControl struct{ document *configuration.Document }
-
-// initialVersion is the version of a configuration that comes from the settings.
-const initialVersion configuration.Version = 1
--- a/instance/fixed.go
+++ b/instance/fixed.go
@@ -8,6 +8,12 @@
 	"github.com/primrosebeam/primrosebeam/internal/control"
 )
 
+// fixedControl serves an instance without control replicas.
+type fixedControl struct{ document *configuration.Document }
+
+// initialVersion is the version of a configuration that comes from the settings.
+const initialVersion configuration.Version = 1
+
 // FixedError reports a change on an instance whose configuration comes from its settings alone.
 type FixedError struct{}
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -42,8 +42,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		began := time.Now()
 		answer, err := submit(net, "i1-aarau", applyChange("first", 0))
 		is.NoErr(err)
@@ -128,8 +127,7 @@
 func lostAnswer(rewrite func(link.Kind, []byte) []byte) func(t *testing.T, net *fakeNet) error {
 	return func(t *testing.T, net *fakeNet) error {
 		net.rewrite = rewrite
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		net.dropReply.Store(1)
 		time.AfterFunc(20*time.Millisecond, func() {
 			net.mu.Lock()
@@ -177,8 +175,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		answers := make(chan Answer)
 		for i, name := range []string{"i0-bern", "i0-olten", "i0-aarau", "r-bern", "r-olten"} {
 			go func() {
@@ -206,8 +203,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
 		is.NoErr(err)
 		other := applyChange("first", 1)
@@ -240,8 +236,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		net.remove("r-olten")
 		began := time.Now()
 		answer, err := submit(net, "i0-olten", applyChange("first", 0))
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -303,6 +304,12 @@
 	return leader, true
 }
 
+// settledCentres starts threeCentres and lets every instance subscribe.
+func settledCentres(t testing.TB, net *fakeNet) {
+	threeCentres(t, net, nil)
+	time.Sleep(3 * time.Second)
+}
+
 // threeCentres starts one replica and two other instances in each of bern, olten and aarau.
 func threeCentres(t testing.TB, net *fakeNet, adjust func(*Control)) {
 	replicas := []Peer{{"r-bern", "bern"}, {"r-olten", "olten"}, {"r-aarau", "aarau"}}
--- a/internal/control/subscriber_test.go
+++ b/internal/control/subscriber_test.go
@@ -68,8 +68,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
 		is.NoErr(err)
 		net.setCut("olten", true)
@@ -90,8 +89,7 @@
 	is := is.New(t)
 	is.NoErr(inVirtualTime(t, func(t *testing.T, net *fakeNet) error {
 		is := is.New(t)
-		threeCentres(t, net, nil)
-		time.Sleep(3 * time.Second)
+		settledCentres(t, net)
 		_, err := submit(net, "i0-bern", applyChange("first", 0))
 		is.NoErr(err)
 		odd := net.nodes["i0-olten"].control.subscriber
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,8 +47,6 @@
 	MaxRequests int // waiting and in flight
 	// OnFloor is called with every floor to publish; it must not block.
 	OnFloor func(scheduler.PublishFloor)
-	// OnCancel is called with every request to cancel on its engine; it must not block.
-	OnCancel func(scheduler.Cancel)
 }
 
 // Duty owns a scheduler.
@@ -59,7 +57,6 @@
 	active    atomic.Int64
 	limit     int
 	onFloor   func(scheduler.PublishFloor)
-	onCancel  func(scheduler.Cancel)
 }
 
 type input struct {
@@ -76,7 +73,6 @@
 		tickets:   map[scheduler.RequestID]*Ticket{},
 		limit:     o.MaxRequests,
 		onFloor:   o.OnFloor,
-		onCancel:  o.OnCancel,
 	}
 }
 
@@ -227,9 +223,7 @@
 			d.end(decision.ID)
 		}
 	case scheduler.DecideCancel:
-		if d.onCancel != nil {
-			d.onCancel(scheduler.Cancel{ID: decision.ID, Engine: decision.Engine})
-		}
+		// The request's handler knows that its caller has gone, and cancels on the engine itself.
 	case scheduler.DecideFloor:
 		if d.onFloor != nil {
 			d.onFloor(scheduler.PublishFloor{Tier: decision.Tier, Expires: decision.Expires})
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -33,8 +33,9 @@
 	return relay.run(ctx), true
 }
 
-// maxStoredAnswer bounds the copy of a stream that is collected for the owner of the key.
-const maxStoredAnswer = 256 << 10
+// maxStoredAnswer bounds the copy of an answer that is collected for the owner of the key, which
+// would drop a longer one.
+const maxStoredAnswer = ledger.DefaultResponseBytes
 
 // copyBuffer collects an answer up to a bound.
 type copyBuffer struct {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -101,9 +101,6 @@
 
 // begin asks the owner for the right to send the first byte to engine.
 func (k *keyed) begin(ctx context.Context, engine string) error {
-	if k.began {
-		return nil // Nothing was sent on the connection that the begin was asked for.
-	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	err := k.claimer.Begin(ctx, ledger.BeginRequest{
