Let the fault matrix wait for the end of a slow start before it fills engines

The trace shows no invariant broken. Change: the waiting step begins once every engine has its whole limit. No check or bound of the test changes.

--- a/e2e/matrix_test.go
+++ b/e2e/matrix_test.go
@@ -241,6 +241,7 @@
 
 // fillEngines sends lookups and completions through the entry until some of both services wait there.
 func (r *round) fillEngines() {
+	r.awaitWholeLimits()
 	for _, k := range []kind{kinds[2], kinds[3]} {
 		service := map[bool]string{true: "chat", false: "orders"}[k.stream]
 		for n := 0; r.waitingFor(service) == 0; n++ {
@@ -264,26 +265,43 @@
 func (r *round) waitingFor(service string) int { return r.entry.waitingFor(r.t, service) }
 
 func (m *member) waitingFor(t *testing.T, service string) int {
+	t.Helper()
+	for _, s := range m.scheduler(t).Services {
+		if s.Name == service {
+			return s.Waiting
+		}
+	}
+	t.Fatalf("no service %s in dump", service)
+	return 0
+}
+
+// scheduler returns the scheduler's part of an instance's dump.
+func (m *member) scheduler(t *testing.T) scheduler.State {
 	t.Helper()
 	text, err := m.operator(t).Text(context.Background(), "v1", "dump")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var dump struct {
-		Scheduler struct {
-			Services []scheduler.ServiceState `json:"services"`
-		} `json:"scheduler"`
+		Scheduler scheduler.State `json:"scheduler"`
 	}
 	if err := json.Unmarshal(text, &dump); err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range dump.Scheduler.Services {
-		if s.Name == service {
-			return s.Waiting
+	return dump.Scheduler
+}
+
+// awaitWholeLimits returns once no engine is in its slow start, which follows a fault of the step
+// before. While room grows, requests that wait are dispatched and leave the step.
+func (r *round) awaitWholeLimits() {
+	waitFor(r.t, "engines at their whole limit", func() bool {
+		for _, e := range r.entry.scheduler(r.t).Engines {
+			if float64(e.Allowed)+0.5 < e.Limit {
+				return false
+			}
 		}
-	}
-	t.Fatalf("no service %s in dump", service)
-	return 0
+		return true
+	})
 }
 
 // awaitHeld returns once n requests stand at the step.
