Run on the users' platform: roles edge and core, thin whole path

Cause: the product had no way to run behind the platform's balancer and in front of its engines.

Change: platform/ decodes headers, documents, settings and the list of engines; routing, placement and revision are new cores without I/O; internal/edge and internal/core are the two processes. consensus learns to keep its number of voters by itself, link to resolve peers by name.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -55,6 +55,7 @@
 	MaxEntryBytes   int      // of one command; the driver's files and frames must take it
 	MaxPendingBytes int      // of all uncommitted commands
 	MaxReads        int      // reads that wait for confirmation
+	Staffing        Staffing // zero leaves the membership to operators
 	Random          *rand.Rand
 	Storage         Storage
 }
@@ -104,6 +105,7 @@
 	done      []Read
 	aborted   []uint64
 
+	contacts        []string      // see SetContacts
 	pledges         map[string]ID // founder only
 	superseded      uint64        // see Superseded
 	pendingSnapshot *Snapshot     // received, not yet handed out
@@ -152,7 +154,9 @@
 		return
 	}
 	n.resetElection()
-	if !n.log.configuration().configuration.IsVoter(n.self) {
+	// With staffing a voter may have been removed while it was out of reach, without an entry that
+	// tells it so.
+	if n.options.Staffing.enabled() || !n.log.configuration().configuration.IsVoter(n.self) {
 		n.askToJoin()
 	}
 	if n.mayCampaign() {
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -40,7 +40,7 @@
 // askToJoin asks every replica that may know the log to be added to it. A replica that finds itself
 // in its own log asks as well, when it hears no leader: the entry that added it may be lost.
 func (n *Node) askToJoin() {
-	for _, name := range n.peers() {
+	for _, name := range n.joinContacts() {
 		n.send(Message{Kind: KindJoin, To: ID{Instance: name}})
 	}
 }
@@ -63,8 +63,8 @@
 	if configuration.Contains(m.From) {
 		return nil
 	}
-	if _, known := configuration.Newest(m.From.Instance); !known {
-		// An instance that was never a member is added by an operator, not by its own wish.
+	if _, known := configuration.Newest(m.From.Instance); !known && !n.admits(configuration) {
+		// Without staffing an instance that was never a member is added by an operator, not by its own wish.
 		return &UnknownSenderError{From: m.From, Kind: m.Kind}
 	}
 	if n.changeAllowed() {
@@ -83,14 +83,26 @@
 		if n.caughtUp(learner) != nil {
 			continue
 		}
-		change := Change{Kind: Promote, ID: learner}
-		for _, voter := range configuration.Voters {
-			if voter.Instance == learner.Instance {
-				change = Change{Kind: Remove, ID: voter}
-			}
-		}
-		if n.ProposeChange(change) == nil {
+		change, wanted := n.changeFor(configuration, learner)
+		if wanted && n.ProposeChange(change) == nil {
 			return
 		}
 	}
+	n.dropLostLearner(configuration)
+}
+
+// changeFor returns the change that brings a learner that is caught up closer to a vote.
+func (n *Node) changeFor(configuration Configuration, learner ID) (change Change, wanted bool) {
+	for _, voter := range configuration.Voters {
+		if voter.Instance == learner.Instance {
+			return Change{Kind: Remove, ID: voter}, true
+		}
+	}
+	if !n.options.Staffing.enabled() || len(configuration.Voters) < n.options.Staffing.Voters {
+		return Change{Kind: Promote, ID: learner}, true
+	}
+	if lost, found := n.lostVoter(configuration); found {
+		return Change{Kind: Remove, ID: lost}, true
+	}
+	return Change{}, false
 }
--- /dev/null
+++ b/consensus/staffing.go
@@ -0,0 +1,73 @@
+package consensus
+
+import "slices"
+
+// Staffing lets the leader keep the number of voters by itself: an instance that was never a member
+// may join as a learner, a learner takes the place of a voter that has been silent for long, and
+// learners that are gone are dropped. Each step is an ordinary change of at most one voter with all
+// its guards, so a lost voter is only removed while a quorum of the remaining ones answers.
+type Staffing struct {
+	Voters   int // wanted number of voters, odd; 0 disables staffing
+	Learners int // most learners, which bounds what joining instances can cause
+	// LostTicks is how long a voter must be silent before a learner takes its place. It must exceed
+	// ElectionTicks, so that a voter that only restarts keeps its place.
+	LostTicks int
+}
+
+func (s Staffing) enabled() bool { return s.Voters > 0 }
+
+// lostLearnerFactor is how many times longer than a voter a learner may be silent: dropping one
+// changes nothing for a quorum, and it has to read the whole log again when it returns.
+const lostLearnerFactor = 5
+
+// admits reports whether an instance that was never a member may be added.
+func (n *Node) admits(configuration Configuration) bool {
+	return n.options.Staffing.enabled() && len(configuration.Learners) < n.options.Staffing.Learners
+}
+
+func (n *Node) silentFor(id ID) uint64 {
+	p := n.progress[id]
+	if p == nil {
+		return 0
+	}
+	return n.ticks - p.contactTick
+}
+
+// lostVoter returns the voter that has been silent longest, when that is too long.
+func (n *Node) lostVoter(configuration Configuration) (ID, bool) {
+	var lost ID
+	longest := uint64(n.options.Staffing.LostTicks)
+	for _, id := range configuration.Voters {
+		if silent := n.silentFor(id); id != n.self && silent > longest {
+			lost, longest = id, silent
+		}
+	}
+	return lost, !lost.IsZero()
+}
+
+// dropLostLearner removes a learner that is silent, so that the places of learners don't fill up with
+// instances that were replaced.
+func (n *Node) dropLostLearner(configuration Configuration) {
+	if !n.options.Staffing.enabled() || !n.changeAllowed() {
+		return
+	}
+	for _, id := range configuration.Learners {
+		if n.silentFor(id) > uint64(n.options.Staffing.LostTicks*lostLearnerFactor) {
+			if n.ProposeChange(Change{Kind: Remove, ID: id}) == nil {
+				return
+			}
+		}
+	}
+}
+
+// SetContacts names further instances that are asked for membership while no leader is heard. They
+// may be learned at run time, and have no say in founding a log.
+func (n *Node) SetContacts(names []string) { n.contacts = slices.Clone(names) }
+
+// joinContacts returns the instances to ask for membership.
+func (n *Node) joinContacts() []string {
+	names := append(n.peers(), n.contacts...)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == n.self.Instance })
+}
--- /dev/null
+++ b/internal/command/platform.go
@@ -0,0 +1,127 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/core"
+	"github.com/primrosebeam/primrosebeam/internal/edge"
+	"github.com/primrosebeam/primrosebeam/internal/logging"
+	"github.com/primrosebeam/primrosebeam/platform"
+)
+
+func init() {
+	subcommands["edge"] = subcommand{"runs an entry instance on the platform", runEdge}
+	subcommands["core"] = subcommand{"runs a control instance on the platform", runCore}
+}
+
+// duty is a process of the platform: it runs until its context ends, then stops gracefully.
+type duty interface{ Run(context.Context) error }
+
+// platformProcess is what both roles start from.
+type platformProcess struct {
+	settings *platform.Settings
+	key      []byte
+	logger   zerolog.Logger
+	metrics  *metrics.Set
+}
+
+func runEdge(args []string, stdout, stderr io.Writer) int {
+	return runOnPlatform("edge", args, stdout, stderr, func(p platformProcess) (duty, error) {
+		return edge.New(edge.Options{Settings: p.settings, SharedKey: p.key, Logger: p.logger, Metrics: p.metrics})
+	})
+}
+
+func runCore(args []string, stdout, stderr io.Writer) int {
+	return runOnPlatform("core", args, stdout, stderr, func(p platformProcess) (duty, error) {
+		return core.New(core.Options{Settings: p.settings, SharedKey: p.key, Logger: p.logger, Metrics: p.metrics})
+	})
+}
+
+func runOnPlatform(role string, args []string, stdout, stderr io.Writer, build func(platformProcess) (duty, error)) int {
+	flags := flag.NewFlagSet(role, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	keyFile := flags.String("shared-key", "", "file with the key that authenticates instances to each other")
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
+	if err := flags.Parse(args); err != nil || *keyFile == "" || *path == "" || flags.NArg() > 0 {
+		flags.Usage()
+		return ExitUsage
+	}
+	threshold, err := zerolog.ParseLevel(*level)
+	if err != nil {
+		fmt.Fprintln(stderr, "primrosebeam:", err)
+		return ExitUsage
+	}
+	settings, err := platform.LoadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, "primrosebeam:", err)
+		return ExitUsage
+	}
+	key, err := readSecret(*keyFile)
+	if err != nil {
+		fmt.Fprintln(stderr, "primrosebeam:", err)
+		return ExitUsage
+	}
+	limitMemory(settings.Limits.MemoryMB)
+	set := metrics.NewSet()
+	logger, writer := logging.New(stdout, set, threshold)
+	defer writer.Close()
+	logger = logger.With().Str("instance", settings.Name).Str("dataCentre", settings.DataCentre).Logger()
+	process, err := build(platformProcess{settings: settings, key: []byte(key), logger: logger, metrics: set})
+	if err != nil {
+		logger.Error().Err(err).Msg("not started")
+		return ExitFailed
+	}
+	return runUntilStopped(process, settings, *path, logger)
+}
+
+// memoryPart is the part of the process's memory that the Go heap may use before it is collected more
+// often: the rest is for stacks, buffers of the kernel and the C library.
+const memoryPart = 0.6
+
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(megabytes) * (1 << 20)))
+	}
+}
+
+// runUntilStopped runs a process until SIGTERM or SIGINT. SIGHUP reads the settings file again and
+// logs what it finds: nothing in it can change without a new start.
+func runUntilStopped(process duty, settings *platform.Settings, path string, logger zerolog.Logger) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-reload:
+			}
+			fresh, err := platform.LoadSettings(path)
+			if err != nil {
+				logger.Error().Err(err).Msg("settings not read again; the former ones hold")
+				continue
+			}
+			logger.Info().Strs("seeds", fresh.Seeds).Strs("formerSeeds", settings.Seeds).Msg("settings read again")
+		}
+	}()
+	if err := process.Run(ctx); err != nil {
+		logger.Error().Err(err).Msg("failed")
+		return ExitFailed
+	}
+	logger.Info().Msg("stopped")
+	return ExitDone
+}
--- /dev/null
+++ b/internal/core/configuration.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/internal/replica"
+	"github.com/primrosebeam/primrosebeam/revision"
+)
+
+const (
+	// callTimeout bounds a call to the leader. Operators move on to another instance after a second.
+	callTimeout = 800 * time.Millisecond
+	// confirmTimeout bounds the confirmation of a number; entry instances ask again every 200 ms.
+	confirmTimeout = 400 * time.Millisecond
+)
+
+// NoLeaderError reports that no leader is known, so nothing can be stored or confirmed.
+type NoLeaderError struct{}
+
+func (e *NoLeaderError) Error() string { return "core: no leader is known" }
+
+// Code is the stable code that the sender of a call sees.
+func (e *NoLeaderError) Code() string { return "core.no-leader" }
+
+// UndeterminedError reports a configuration that may or may not be stored.
+type UndeterminedError struct{ Cause error }
+
+func (e *UndeterminedError) Error() string { return fmt.Sprintf("core: outcome not known: %v", e.Cause) }
+
+func (e *UndeterminedError) Unwrap() error { return e.Cause }
+
+// Code is the stable code that the sender of a call sees.
+func (e *UndeterminedError) Code() string { return "core.undetermined" }
+
+// leaderName returns the leader as far as it is known.
+func (c *Core) leaderName() (string, error) {
+	leader, known := c.replica.Leader()
+	if !known || leader == "" {
+		return "", &NoLeaderError{}
+	}
+	return leader, nil
+}
+
+// submit stores a configuration through the leader.
+func (c *Core) submit(ctx context.Context, s fleet.Submit) (fleet.Submitted, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	leader, err := c.leaderName()
+	if err != nil {
+		return fleet.Submitted{}, err
+	}
+	if leader == c.name {
+		return c.propose(ctx, s)
+	}
+	var reply fleet.Submitted
+	err = c.link.Call(ctx, leader, fleet.KindSubmit, s, &reply)
+	return reply, err
+}
+
+// propose stores a configuration in the log that this instance leads. Before a configuration that
+// changes nothing is acknowledged, a quorum confirms what is stored: the register here may be stale.
+func (c *Core) propose(ctx context.Context, s fleet.Submit) (fleet.Submitted, error) {
+	command, err := revision.EncodeWrite(revision.Revision{Number: s.Number, Content: s.Content})
+	if err != nil {
+		return fleet.Submitted{}, err
+	}
+	outcome, err := c.replica.Propose(ctx, command)
+	if err != nil {
+		var undetermined *replica.UndeterminedError
+		if errors.As(err, &undetermined) {
+			return fleet.Submitted{}, &UndeterminedError{Cause: err}
+		}
+		return fleet.Submitted{}, err
+	}
+	result, ok := outcome.(revision.Result)
+	if !ok {
+		return fleet.Submitted{}, &UndeterminedError{Cause: fmt.Errorf("core: unexpected result %T", outcome)}
+	}
+	return fleet.Submitted{Stored: result.Stored, Number: result.Number}, nil
+}
+
+func (c *Core) handleSubmit(ctx context.Context, _ link.Sender, body []byte) (any, error) {
+	var s fleet.Submit
+	if err := link.Decode(body, &s); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.propose(ctx, s)
+}
+
+// confirm returns the newest number, confirmed by a quorum after the call, and with read its content.
+func (c *Core) confirm(ctx context.Context, read bool) (fleet.Confirmed, error) {
+	leader, err := c.leaderName()
+	if err != nil {
+		return fleet.Confirmed{}, err
+	}
+	request := fleet.Confirm{Entries: c.hub.attachedNames(), Read: read}
+	if leader == c.name {
+		return c.confirmHere(ctx, request)
+	}
+	var reply fleet.Confirmed
+	if err := c.link.Call(ctx, leader, fleet.KindConfirm, request, &reply); err != nil {
+		return fleet.Confirmed{}, err
+	}
+	c.hub.learnEntries(reply.Entries)
+	return reply, nil
+}
+
+func (c *Core) confirmHere(ctx context.Context, request fleet.Confirm) (fleet.Confirmed, error) {
+	if err := c.replica.Barrier(ctx); err != nil {
+		return fleet.Confirmed{}, err
+	}
+	current := c.register.Current()
+	reply := fleet.Confirmed{Number: current.Number, Entries: c.hub.entries()}
+	if request.Read {
+		reply.Content = current.Content
+	}
+	return reply, nil
+}
+
+func (c *Core) handleConfirm(ctx context.Context, from link.Sender, body []byte) (any, error) {
+	var request fleet.Confirm
+	if err := link.Decode(body, &request); err != nil {
+		return nil, err
+	}
+	c.hub.learnAttached(from.Name, request.Entries)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return c.confirmHere(ctx, request)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,244 @@
+// Package core runs a control instance: a replica of the configuration, the operators' interface, the
+// reader of the platform's list of engines, and the allocator of places.
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/consensus"
+	"github.com/primrosebeam/primrosebeam/internal/allocator"
+	"github.com/primrosebeam/primrosebeam/internal/directory"
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/internal/monitor"
+	"github.com/primrosebeam/primrosebeam/internal/replica"
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/platform"
+	"github.com/primrosebeam/primrosebeam/revision"
+	"github.com/primrosebeam/primrosebeam/routing"
+)
+
+const (
+	// maxFrameBytes takes the largest configuration that the log takes, with its envelope.
+	maxFrameBytes = consensus.DefaultMaxEntryBytes + 64<<10
+	// maxLearners bounds the instances that wait to become voters.
+	maxLearners = 12
+	// lostTicks is how long a voter is silent before a spare takes its place: 2 s, within the time in
+	// which the users expect a replaced machine to count again (4 s).
+	lostTicks = int(2 * time.Second / replica.DefaultTickInterval)
+	// roleInterval is how often the leadership is looked at.
+	roleInterval = 100 * time.Millisecond
+)
+
+// Options configure a Core.
+type Options struct {
+	Settings  *platform.Settings
+	SharedKey []byte
+	Logger    zerolog.Logger
+	Metrics   *metrics.Set
+}
+
+// Core is the process of a control instance.
+type Core struct {
+	options   Options
+	name      string // the machine's address, which is unique and tells others where to connect
+	link      *link.Node
+	register  *revision.Register
+	replica   *replica.Replica
+	allocator *allocator.Allocator
+	directory *directory.Reader
+	hub       *hub
+	leads     atomic.Bool
+	leader    atomic.Pointer[string]
+	table     atomic.Pointer[routing.Table]
+}
+
+// New opens the data folder and builds all duties; Run starts them.
+func New(o Options) (*Core, error) {
+	s := o.Settings
+	c := &Core{options: o, name: s.Address.String()}
+	c.register = revision.NewRegister(c.revisionStored)
+	node, err := link.New(link.Options{
+		Name: c.name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
+		SharedKey: o.SharedKey, ListenAddress: s.Links, MaxFrameBytes: maxFrameBytes,
+		Resolve: fleet.Resolver(s.LinkAddress),
+		Logger:  o.Logger, Metrics: o.Metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.link = node
+	c.allocator = allocator.New(allocator.Options{
+		Caller: node, DataCentre: s.DataCentre, Logger: o.Logger, Metrics: o.Metrics,
+	})
+	c.hub = newHub(c)
+	c.directory = directory.New(directory.Options{
+		Address: s.Directory.Address, Interval: directoryInterval, Changed: c.enginesChanged,
+		Logger: o.Logger, Metrics: o.Metrics,
+	})
+	c.replica, err = replica.New(c.replicaOptions())
+	if err != nil {
+		return nil, err
+	}
+	node.Handle(fleet.KindConsensus, c.handleConsensus)
+	node.Handle(fleet.KindAttach, c.hub.handleAttach)
+	node.Handle(fleet.KindConfirm, c.handleConfirm)
+	node.Handle(fleet.KindSubmit, c.handleSubmit)
+	node.Handle(fleet.KindUpdate, c.allocator.HandleUpdate)
+	return c, nil
+}
+
+// directoryInterval is the period at which each control instance reads the list of engines. With the
+// list's own lag of 0.8 s a leaving engine is known after 1.5 s, half of the time allowed.
+const directoryInterval = 700 * time.Millisecond
+
+func (c *Core) replicaOptions() replica.Options {
+	s := c.options.Settings
+	o := replica.Options{
+		Instance: c.name, Directory: filepath.Join(s.DataFolder, "replica"),
+		StateMachine: c.register, Transport: c, Logger: c.options.Logger, Metrics: c.options.Metrics,
+		// 2f+1 voters keep a quorum when f of them are lost.
+		Staffing: consensus.Staffing{Voters: 2*s.Tolerated + 1, Learners: maxLearners, LostTicks: lostTicks},
+	}
+	seeds := s.SeedAddresses()
+	if s.FirstStart {
+		o.Voters = seeds
+	} else {
+		o.Peers = seeds
+	}
+	return o
+}
+
+// Send implements replica.Transport.
+func (c *Core) Send(to string, m consensus.Message) error {
+	return c.link.Send(to, fleet.KindConsensus, m)
+}
+
+func (c *Core) handleConsensus(_ context.Context, from link.Sender, body []byte) (any, error) {
+	var m consensus.Message
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	c.replica.Receive(from.Name, m)
+	return nil, nil
+}
+
+// revisionStored is called by the replica's duty with each new configuration, and at the start with
+// the one on the disk.
+func (c *Core) revisionStored(r revision.Revision) {
+	table, err := platform.DecodeDocument(r.Content)
+	if err != nil {
+		// Only valid configurations are proposed, so another version of this program wrote it.
+		c.options.Logger.Error().Uint64("number", r.Number).Err(err).Msg("stored configuration is not valid here")
+		return
+	}
+	c.table.Store(table)
+	c.options.Logger.Info().Uint64("number", r.Number).Int("bytes", len(r.Content)).Msg("configuration stored")
+	c.allocator.SetLimits(limits(table))
+	if c.hub != nil {
+		c.hub.notify()
+	}
+}
+
+func limits(t *routing.Table) []placement.Limit {
+	out := []placement.Limit{}
+	for _, w := range t.Workspaces() {
+		out = append(out, placement.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	return out
+}
+
+func (c *Core) enginesChanged(engines []placement.Engine) {
+	c.allocator.SetEngines(engines)
+	c.hub.notify()
+}
+
+// Run serves until ctx ends. A control instance has no callers' requests to finish; it closes its
+// links and its journal.
+func (c *Core) Run(ctx context.Context) error {
+	operators := &http.Server{Addr: c.options.Settings.Operators, Handler: c.operators(), ReadHeaderTimeout: operatorTimeout}
+	observed := monitor.New(c.options.Settings.Metrics, c.options.Metrics, map[string]func() any{
+		"replica":   func() any { return c.replica.State() },
+		"link":      func() any { return c.link.State() },
+		"directory": func() any { return c.directory.State() },
+		"hub":       func() any { return c.hub.state() },
+	})
+	duties := &sync.WaitGroup{}
+	ctx, cancel := context.WithCancelCause(ctx)
+	start := func(name string, run func(context.Context) error) {
+		duties.Go(func() {
+			if err := run(ctx); err != nil && ctx.Err() == nil {
+				cancel(fmt.Errorf("core: %s: %w", name, err))
+			}
+		})
+	}
+	start("link", c.link.Run)
+	start("replica", c.replica.Run)
+	start("allocator", c.allocator.Run)
+	start("directory", c.directory.Run)
+	start("role", c.watchRole)
+	start("operators", monitor.Serve(operators))
+	start("metrics", monitor.Serve(observed))
+	c.options.Logger.Info().Str("operators", operators.Addr).Bool("firstStart", c.options.Settings.FirstStart).Msg("control instance started")
+	<-ctx.Done()
+	duties.Wait()
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
+
+// watchRole follows the leadership and tells the allocator and the entry instances.
+func (c *Core) watchRole(ctx context.Context) error {
+	ticker := time.NewTicker(roleInterval)
+	defer ticker.Stop()
+	contacts := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		leader, known := c.replica.Leader()
+		if !known {
+			leader = ""
+		}
+		former := c.leader.Swap(&leader)
+		c.leads.Store(leader == c.name)
+		c.allocator.SetRole(leader == c.name, c.hub.entries())
+		if former == nil || *former != leader {
+			c.hub.notify()
+			c.options.Logger.Info().Str("leader", leader).Msg("leader observed")
+		}
+		if names := fmt.Sprint(c.controlInstances()); names != contacts {
+			contacts = names
+			c.replica.SetContacts(c.controlInstances())
+		}
+	}
+}
+
+// controlInstances returns all instances that are known to have the control role.
+func (c *Core) controlInstances() []string {
+	names := map[string]bool{c.name: true}
+	for _, seed := range c.options.Settings.SeedAddresses() {
+		names[seed] = true
+	}
+	members := c.replica.State().Node.Configuration
+	for _, id := range members.Voters {
+		names[id.Instance] = true
+	}
+	for _, id := range members.Learners {
+		names[id.Instance] = true
+	}
+	return sortedKeys(names)
+}
--- /dev/null
+++ b/internal/core/operators.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/platform"
+)
+
+const (
+	// operatorTimeout bounds the reading of an operator's request.
+	operatorTimeout = 5 * time.Second
+	// maxDocumentBytes is what one entry of the log takes, less its envelope.
+	maxDocumentBytes = 1<<20 - 1<<10
+)
+
+// operators returns the handler of the operators' interface.
+func (c *Core) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathReplace, c.replace)
+	mux.HandleFunc("GET "+platform.PathRead, c.read)
+	return mux
+}
+
+func (c *Core) replace(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	if err != nil {
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			http.Error(w, "the configuration is too long", http.StatusRequestEntityTooLarge)
+			return
+		}
+		http.Error(w, "the configuration was not read", http.StatusBadRequest)
+		return
+	}
+	table, err := platform.DecodeDocument(content)
+	if err != nil {
+		c.options.Logger.Info().Int("bytes", len(content)).Err(err).Msg("configuration refused")
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	number := uint64(table.Number)
+	result, err := c.submit(r.Context(), fleet.Submit{Number: number, Content: content})
+	event := c.options.Logger.Info().Uint64("number", number).Dur("took", time.Since(started))
+	if err != nil {
+		status := statusOf(err)
+		event.Err(err).Int("status", status).Msg("configuration not acknowledged")
+		http.Error(w, err.Error(), status)
+		return
+	}
+	event.Bool("stored", result.Stored).Uint64("held", result.Number).Msg("configuration acknowledged")
+	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, c, []byte(`{"number":`+strconv.FormatUint(result.Number, 10)+`}`))
+}
+
+// statusOf tells a configuration that was certainly not stored from one whose outcome is not known.
+func statusOf(err error) int {
+	var unreachable *link.UnreachableError
+	var remote *link.RemoteError
+	var noLeader *NoLeaderError
+	switch {
+	case errors.As(err, &noLeader):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &unreachable) && !unreachable.Sent:
+		return http.StatusServiceUnavailable
+	case errors.As(err, &remote) && remote.Code == noLeader.Code():
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
+func (c *Core) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	current, err := c.confirm(ctx, true)
+	if err == nil && current.Number == 0 {
+		err = &NoConfigurationError{}
+	}
+	if err != nil {
+		c.options.Logger.Info().Err(err).Msg("configuration not read: nothing could be confirmed")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, c, current.Content)
+}
+
+func writeBody(w http.ResponseWriter, c *Core, body []byte) {
+	if _, err := w.Write(body); err != nil {
+		c.options.Logger.Debug().Err(err).Msg("operator left before the answer")
+	}
+}
+
+// NoConfigurationError reports that no configuration was ever stored.
+type NoConfigurationError struct{}
+
+func (e *NoConfigurationError) Error() string { return "core: no configuration was stored yet" }
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,177 @@
+// Package directory reads the platform's list of engines regularly and keeps the last good one.
+package directory
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/boottime"
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/platform"
+)
+
+// readTimeout bounds one reading, so that a silent connection is given up on before the next but one.
+const readTimeout = 900 * time.Millisecond
+
+// Options configure a Reader.
+type Options struct {
+	Address  string
+	Interval time.Duration
+	Changed  func([]placement.Engine) // called with each list that differs; must not block
+	// Wanted tells whether a reading is needed; nil means always.
+	Wanted  func() bool
+	Logger  zerolog.Logger
+	Metrics *metrics.Set
+}
+
+// State is the last good list.
+type State struct {
+	Engines []placement.Engine
+	Digest  uint64
+	ReadAt  boottime.Time // before the reading began; 0 means never
+}
+
+// unknownAge stands for a list that was never read.
+const unknownAge = time.Hour
+
+// Age returns how old the list is.
+func (s State) Age() time.Duration {
+	if s.ReadAt == 0 {
+		return unknownAge
+	}
+	return boottime.Now().Sub(s.ReadAt)
+}
+
+// Reader is the duty that reads the list.
+type Reader struct {
+	options Options
+	client  *http.Client
+	state   atomic.Pointer[State]
+	mu      sync.Mutex // serializes store
+	failing bool
+
+	reads, failures, malformed *metrics.Counter
+}
+
+// New returns a reader without a list.
+func New(o Options) *Reader {
+	dialer := &net.Dialer{Timeout: readTimeout}
+	r := &Reader{
+		options: o,
+		client: &http.Client{Timeout: readTimeout, Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		}},
+		reads:     o.Metrics.NewCounter("primrosebeam_directory_reads_total"),
+		failures:  o.Metrics.NewCounter("primrosebeam_directory_failures_total"),
+		malformed: o.Metrics.NewCounter("primrosebeam_directory_malformed_entries_total"),
+	}
+	r.state.Store(&State{})
+	return r
+}
+
+// State returns the last good list.
+func (r *Reader) State() State { return *r.state.Load() }
+
+// Run reads until ctx ends.
+func (r *Reader) Run(ctx context.Context) error {
+	ticker := time.NewTicker(r.options.Interval)
+	defer ticker.Stop()
+	for {
+		if r.options.Wanted == nil || r.options.Wanted() {
+			r.read(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Reader) read(ctx context.Context) {
+	began := boottime.Now()
+	r.reads.Inc()
+	engines, malformed, err := platform.ReadDirectory(ctx, r.client, r.options.Address)
+	if err != nil {
+		r.failures.Inc()
+		if !r.failing && ctx.Err() == nil {
+			r.options.Logger.Warn().Dur("age", r.State().Age()).Err(err).Msg("list of engines lost")
+		}
+		r.failing = true
+		r.client.CloseIdleConnections()
+		return
+	}
+	if r.failing {
+		r.failing = false
+		r.options.Logger.Info().Int("engines", len(engines)).Msg("list of engines regained")
+	}
+	r.malformed.Add(malformed)
+	r.Store(engines, began)
+}
+
+// Store takes a list that was read at a time, here or by another instance. An older one is ignored.
+func (r *Reader) Store(engines []placement.Engine, readAt boottime.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former := r.State()
+	if readAt <= former.ReadAt {
+		return
+	}
+	engines = slices.Clone(engines)
+	slices.SortFunc(engines, func(a, b placement.Engine) int { return strings.Compare(a.ID, b.ID) })
+	digest := Digest(engines)
+	r.state.Store(&State{Engines: engines, Digest: digest, ReadAt: readAt})
+	if digest != former.Digest || former.ReadAt == 0 {
+		r.logChanges(former.Engines, engines)
+		r.options.Changed(engines)
+	}
+}
+
+// Touch marks the present list as read at a time, since another instance holds the same one.
+func (r *Reader) Touch(readAt boottime.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.State()
+	if readAt > state.ReadAt && state.ReadAt != 0 {
+		state.ReadAt = readAt
+		r.state.Store(&state)
+	}
+}
+
+func (r *Reader) logChanges(former, engines []placement.Engine) {
+	before := make(map[string]placement.Engine, len(former))
+	for _, e := range former {
+		before[e.ID] = e
+	}
+	for _, e := range engines {
+		old, known := before[e.ID]
+		delete(before, e.ID)
+		if !known || old.Leaving != e.Leaving {
+			r.options.Logger.Info().Str("engine", e.ID).Str("address", e.Address).Str("service", e.Service).
+				Bool("leaving", e.Leaving).Msg("engine listed")
+		}
+	}
+	for id := range before {
+		r.options.Logger.Info().Str("engine", id).Msg("engine gone from the list")
+	}
+}
+
+// Digest returns a number that is equal for equal sorted lists.
+func Digest(engines []placement.Engine) uint64 {
+	data, err := cbor.Marshal(engines)
+	if err != nil {
+		return 0 // Engines are plain strings and numbers, so this is not reached.
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/internal/fleet/messages.go
@@ -0,0 +1,140 @@
+// Package fleet holds the messages between entry instances and control instances: the configuration
+// and the list of engines on their way to the entry instances, and the requests for places on their
+// way to the allocator.
+package fleet
+
+import (
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/placement"
+)
+
+// Kinds of messages.
+const (
+	KindConsensus link.Kind = "consensus"        // between control instances
+	KindAttach    link.Kind = "fleet.attach"     // call of an entry instance to a control instance
+	KindChanged   link.Kind = "fleet.changed"    // tells attached instances to call again at once
+	KindConfirm   link.Kind = "fleet.confirm"    // call of a control instance to the leader
+	KindSubmit    link.Kind = "fleet.submit"     // call of a control instance to the leader
+	KindUpdate    link.Kind = "placement.update" // entry instance to allocator
+	KindAnswer    link.Kind = "placement.answer" // allocator to entry instance
+)
+
+// Attach is sent regularly; it doubles as the heartbeat of an entry instance.
+type Attach struct {
+	Number    uint64 `cbor:"1,keyasint,omitempty"` // of the configuration in force at the sender
+	Directory uint64 `cbor:"2,keyasint,omitempty"` // digest of the list of engines that the sender has
+}
+
+// Attached answers Attach.
+type Attached struct {
+	Number         uint64             `cbor:"1,keyasint,omitempty"` // of Content
+	Content        []byte             `cbor:"2,keyasint,omitempty"` // configuration, when the sender has an older one
+	Confirmed      uint64             `cbor:"3,keyasint,omitempty"` // newest number that a quorum confirmed after the call
+	IsConfirmed    bool               `cbor:"4,keyasint,omitempty"`
+	Leader         string             `cbor:"5,keyasint,omitempty"`
+	Control        []string           `cbor:"6,keyasint,omitempty"` // all control instances
+	DataCentre     string             `cbor:"7,keyasint,omitempty"` // of the answering instance
+	Digest         uint64             `cbor:"8,keyasint,omitempty"` // of Engines
+	Engines        []placement.Engine `cbor:"9,keyasint,omitempty"` // when the sender has another list
+	DirectoryAgeMS int64              `cbor:"10,keyasint,omitempty"`
+	Entries        int                `cbor:"11,keyasint,omitempty"` // entry instances that are known
+}
+
+// Confirm asks the leader for the newest number, confirmed by a quorum after the call.
+type Confirm struct {
+	Entries []string `cbor:"1,keyasint,omitempty"` // entry instances attached to the sender
+	Read    bool     `cbor:"2,keyasint,omitempty"` // the content is asked for as well
+}
+
+// Confirmed answers Confirm.
+type Confirmed struct {
+	Number  uint64 `cbor:"1,keyasint,omitempty"`
+	Entries int    `cbor:"2,keyasint,omitempty"`
+	Content []byte `cbor:"3,keyasint,omitempty"` // when Confirm.Read is set
+}
+
+// Submit asks the leader to store a configuration.
+type Submit struct {
+	Number  uint64 `cbor:"1,keyasint"`
+	Content []byte `cbor:"2,keyasint"`
+}
+
+// Submitted answers Submit.
+type Submitted struct {
+	Stored bool   `cbor:"1,keyasint,omitempty"`
+	Number uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Update carries what happened at an entry instance since the last update. Updates of one stream are
+// numbered without gaps; an allocator that misses one asks for a Whole one.
+type Update struct {
+	Sequence    uint64    `cbor:"1,keyasint"`
+	Whole       bool      `cbor:"2,keyasint,omitempty"` // Arrivals and Runs are everything that the instance has
+	Leave       bool      `cbor:"3,keyasint,omitempty"` // the instance goes to another allocator
+	Arrivals    []Arrival `cbor:"4,keyasint,omitempty"`
+	Runs        []Run     `cbor:"5,keyasint,omitempty"`
+	Withdrawals []uint64  `cbor:"6,keyasint,omitempty"`
+	Starts      []uint64  `cbor:"7,keyasint,omitempty"`
+	Ends        []End     `cbor:"8,keyasint,omitempty"`
+	Charges     []Charge  `cbor:"9,keyasint,omitempty"`
+	Answered    uint64    `cbor:"10,keyasint,omitempty"` // newest answer that was received
+}
+
+// Arrival is a request that waits for a place. Times are relative to the sending of the update.
+type Arrival struct {
+	ID          uint64           `cbor:"1,keyasint"`
+	Service     string           `cbor:"2,keyasint"`
+	Workspace   string           `cbor:"3,keyasint,omitempty"`
+	Charge      float64          `cbor:"4,keyasint,omitempty"`
+	Tier        int              `cbor:"5,keyasint,omitempty"`
+	Prompt      int              `cbor:"6,keyasint,omitempty"`
+	Output      int              `cbor:"7,keyasint,omitempty"`
+	Parts       []placement.Part `cbor:"8,keyasint,omitempty"`
+	AgeMS       int64            `cbor:"9,keyasint,omitempty"`
+	ObjectiveMS int64            `cbor:"10,keyasint,omitempty"`
+	DeadlineMS  int64            `cbor:"11,keyasint,omitempty"`
+	Excluded    []string         `cbor:"12,keyasint,omitempty"`
+}
+
+// Run is a request that runs at an engine.
+type Run struct {
+	Arrival Arrival `cbor:"1,keyasint"`
+	Engine  string  `cbor:"2,keyasint"`
+	Started bool    `cbor:"3,keyasint,omitempty"`
+}
+
+// End is the end of a run.
+type End struct {
+	ID      uint64            `cbor:"1,keyasint"`
+	Outcome placement.Outcome `cbor:"2,keyasint,omitempty"`
+	Tokens  int               `cbor:"3,keyasint,omitempty"`
+}
+
+// Charge is what an instance spent of a quota without asking.
+type Charge struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Amount    float64 `cbor:"2,keyasint"`
+}
+
+// Answer carries the decisions of an allocator. Answers to one instance are numbered without gaps.
+type Answer struct {
+	Sequence   uint64      `cbor:"1,keyasint"`
+	Received   uint64      `cbor:"2,keyasint,omitempty"` // newest update that was taken in
+	Again      bool        `cbor:"3,keyasint,omitempty"` // a Whole update is needed
+	Grants     []Grant     `cbor:"4,keyasint,omitempty"`
+	Rejections []Rejection `cbor:"5,keyasint,omitempty"`
+	Exhausted  []string    `cbor:"6,keyasint,omitempty"` // workspaces without quota
+}
+
+// Grant gives a request a place.
+type Grant struct {
+	ID     uint64           `cbor:"1,keyasint"`
+	Engine placement.Engine `cbor:"2,keyasint"`
+}
+
+// Rejection gives up on a request that was not sent.
+type Rejection struct {
+	ID           uint64           `cbor:"1,keyasint"`
+	Reason       placement.Reason `cbor:"2,keyasint"`
+	RetryAfterMS int64            `cbor:"3,keyasint,omitempty"`
+}
--- a/internal/link/inbound.go
+++ b/internal/link/inbound.go
@@ -86,7 +86,7 @@
 // bind attributes a connection to the peer that it claims to come from.
 func (n *Node) bind(w *wire, name string) bool {
 	n.mu.Lock()
-	p, known := n.peers[name]
+	p, known := n.lookup(name)
 	n.mu.Unlock()
 	if known {
 		w.bind(p.count(), p.gate)
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -59,6 +59,9 @@
 	ListenAddress string       // IP:port
 	Listener      net.Listener // used instead of ListenAddress when set
 	Peers         map[string]string
+	// Resolve returns the address of an instance that Peers does not name; ok is false for a name that
+	// can't be one. nil means that only the instances in Peers are known.
+	Resolve func(name string) (address string, ok bool)
 
 	MaxFrameBytes    int           // bytes
 	RingCapacity     int           // messages per peer that wait for the connection
@@ -411,7 +414,7 @@
 func (n *Node) peer(name string) (*peer, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p, known := n.peers[name]
+	p, known := n.lookup(name)
 	switch {
 	case !known:
 		return nil, &UnknownPeerError{Peer: name}
@@ -421,6 +424,24 @@
 	return p, nil
 }
 
+// maxResolved bounds the peers that Resolve adds: instances are replaced at new addresses.
+const maxResolved = 4096
+
+// lookup returns a peer, and adds it when Resolve knows its address. It requires n.mu.
+func (n *Node) lookup(name string) (*peer, bool) {
+	p, known := n.peers[name]
+	if known || n.o.Resolve == nil || name == n.o.Name || len(n.peers) >= maxResolved {
+		return p, known
+	}
+	address, ok := n.o.Resolve(name)
+	if !ok || validPeer(name, address) != nil {
+		return nil, false
+	}
+	p = newPeer(n, name, address)
+	n.peers[name] = p
+	return p, true
+}
+
 // SetCut holds back all traffic with a peer in both directions, as a network partition does, until it
 // is called with false. It exists for tests and returns *CutError unless Options.AllowCut is set.
 func (n *Node) SetCut(peer string, cut bool) error {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 	messages    *ring.Ring[received]
 	calls       *ring.Ring[*call]
 	state       atomic.Pointer[State]
+	contacts    atomic.Pointer[[]string]
 	stopped     chan struct{}
 
 	store        *store
@@ -105,6 +106,7 @@
 	node, err := consensus.New(consensus.Options{
 		Self: r.store.identity, Founders: r.options.Voters, Peers: r.options.Peers,
 		ElectionTicks: r.options.ElectionTicks, HeartbeatTicks: r.options.HeartbeatTicks,
+		Staffing: r.options.Staffing,
 		Random: r.options.Random, Storage: r.store,
 	})
 	if err != nil {
@@ -138,6 +140,9 @@
 // before it looks at a message or a call.
 func (r *Replica) cycle() {
 	r.observeClock(time.Now())
+	if names := r.contacts.Swap(nil); names != nil {
+		r.node.SetContacts(*names)
+	}
 	r.takeMessages()
 	r.takeCalls()
 	r.advance()
@@ -368,3 +373,6 @@
 		r.instruments.dropped.Inc()
 	}
 }
+
+// SetContacts names further instances that are asked for membership; see consensus.Node.SetContacts.
+func (r *Replica) SetContacts(names []string) { r.contacts.Store(&names) }
--- /dev/null
+++ b/placement/quota.go
@@ -0,0 +1,97 @@
+package placement
+
+import "time"
+
+// Limit is the quota of a workspace.
+type Limit struct {
+	Workspace string
+	Rate      float64 // units a second over all instances; 0 means no limit
+	Burst     float64 // units
+}
+
+// quota is a token bucket.
+type quota struct {
+	Limit
+	level   float64 // units that may be spent; below 0 after charges of others
+	updated time.Duration
+}
+
+// SetQuotas replaces the quotas. A bucket keeps its level as far as the new burst allows.
+func (c *Core) SetQuotas(now time.Duration, limits []Limit) {
+	former := c.quotas
+	c.quotas = make(map[string]*quota, len(limits))
+	for _, l := range limits {
+		if l.Rate <= 0 {
+			continue
+		}
+		q := former[l.Workspace]
+		if q == nil {
+			q = &quota{Limit: l, level: l.Burst * c.share, updated: now}
+		}
+		c.refill(now, q)
+		q.Limit = l
+		q.level = min(q.level, l.Burst*c.share)
+		c.quotas[l.Workspace] = q
+	}
+}
+
+// SetShare sets the part of each quota that this core may spend. Cores that don't hear of each other
+// have shares that add up to at most 1.
+func (c *Core) SetShare(now time.Duration, share float64) {
+	if share == c.share {
+		return
+	}
+	for _, q := range c.quotas {
+		c.refill(now, q)
+		q.level = min(q.level, q.Burst*share)
+	}
+	c.share = share
+}
+
+func (c *Core) refill(now time.Duration, q *quota) {
+	q.level = min(q.level+q.Rate*c.share*(now-q.updated).Seconds(), q.Burst*c.share)
+	q.updated = now
+}
+
+// spend takes a charge from the quota of a workspace, or returns the time until there is enough.
+func (c *Core) spend(now time.Duration, workspace string, charge float64) (wait time.Duration, ok bool) {
+	q := c.quotas[workspace]
+	if q == nil {
+		return 0, true
+	}
+	c.refill(now, q)
+	// A request larger than the burst passes when the bucket is full.
+	need := min(charge, q.Burst*c.share)
+	if q.level < need {
+		missing := (need - q.level) / max(q.Rate*c.share, 1)
+		return min(max(time.Duration(missing*float64(time.Second)), retryLeast), retryMost), false
+	}
+	q.level -= charge
+	return 0, true
+}
+
+// Charge takes what an instance spent without asking.
+func (c *Core) Charge(now time.Duration, workspace string, charge float64) {
+	if q := c.quotas[workspace]; q != nil {
+		c.refill(now, q)
+		q.level -= charge
+	}
+}
+
+func (c *Core) refund(workspace string, charge float64) {
+	if q := c.quotas[workspace]; q != nil {
+		q.level += charge
+	}
+}
+
+// Exhausted returns the workspaces that have nothing left to spend.
+func (c *Core) Exhausted(now time.Duration) []string {
+	var names []string
+	for name, q := range c.quotas {
+		c.refill(now, q)
+		if q.level <= 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
