Leave a control instance that reaches no quorum

Ruled out: a lost notice; the other instances had version 30 after 8 ms. Change: an answer that no quorum confirmed counts as a failure; such an instance is asked last for 2 s.

--- a/internal/edge/member.go
+++ b/internal/edge/member.go
@@ -22,6 +22,8 @@
 	attachInterval = 400 * time.Millisecond
 	// attachTimeout is how long one call may take before another control instance is asked.
 	attachTimeout = 600 * time.Millisecond
+	// avoidControl is how long a control instance that failed is asked last.
+	avoidControl = 2 * time.Second
 	// leaseMargin is kept free before the end of a lease, for requests that pass the check and are
 	// sent a little later.
 	leaseMargin = 250 * time.Millisecond
@@ -48,6 +50,7 @@
 	control []string          // all control instances that are known
 	centres map[string]string // data centre by control instance
 	current string            // the one that is asked
+	avoided map[string]boottime.Time
 }
 
 func newMember(o Options, l link.Caller, list *directory.Reader, installed func(*routing.Table)) *member {
@@ -55,7 +58,7 @@
 	m := &member{
 		link: l, name: s.Address.String(), centre: s.DataCentre, revokeIn: s.Bounds.RevokeWithin, directory: list,
 		logger: o.Logger, changed: make(chan struct{}, 1), installed: installed,
-		control: s.SeedAddresses(), centres: map[string]string{},
+		control: s.SeedAddresses(), centres: map[string]string{}, avoided: map[string]boottime.Time{},
 	}
 	none := ""
 	m.leader.Store(&none)
@@ -74,7 +77,7 @@
 			if attached {
 				m.logger.Warn().Str("peer", target).Dur("lease", m.leaseLeft()).Err(err).Msg("control instance lost")
 			}
-			m.moveOn(target)
+			m.avoid(target)
 			wait = attachInterval / 8
 		} else if !attached {
 			m.logger.Info().Str("peer", target).Msg("control instance regained")
@@ -98,27 +101,43 @@
 	return nil, nil
 }
 
-// target returns the control instance to ask, one of the own data centre if any is known.
+// target returns the control instance to ask: one of the own data centre, else one whose data centre
+// isn't known yet, else any. Instances that failed lately come last, the one that failed first before
+// the others.
 func (m *member) target() string {
+	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.current == "" && len(m.control) > 0 {
-		m.current = m.control[0]
+	best, least := "", boottime.Time(0)
+	for _, name := range m.control {
+		cost := max(m.avoided[name], now)
+		if centre, known := m.centres[name]; known && centre != m.centre {
+			cost++ // orders instances that are equal otherwise
+		}
+		if name == m.current {
+			cost--
+		}
+		if best == "" || cost < least {
+			best, least = name, cost
+		}
 	}
-	return m.current
+	m.current = best
+	return best
 }
 
-// moveOn asks the next control instance after a failure.
-func (m *member) moveOn(failed string) {
-	none := ""
-	m.leader.Store(&none)
+// avoid leaves a control instance alone for a while that did not answer, or could not confirm what it
+// answered: it may be cut off from the others.
+func (m *member) avoid(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.current != failed || len(m.control) == 0 {
-		return
-	}
-	at := slices.Index(m.control, failed)
-	m.current = m.control[(at+1)%len(m.control)]
+	m.avoided[name] = boottime.Now().Add(avoidControl)
+}
+
+// UnconfirmedError reports an answer of a control instance that reaches no quorum.
+type UnconfirmedError struct{ Peer string }
+
+func (e *UnconfirmedError) Error() string {
+	return "edge: control instance " + e.Peer + " could not confirm its configuration"
 }
 
 func (m *member) attach(ctx context.Context, target string) error {
@@ -140,9 +159,12 @@
 	}
 	m.takeDirectory(asked, &reply)
 	m.renewLease(asked, &reply)
+	m.learnControl(target, &reply)
+	if !reply.IsConfirmed {
+		return &UnconfirmedError{Peer: target}
+	}
 	m.leader.Store(&reply.Leader)
 	m.entries.Store(int64(max(reply.Entries, 1)))
-	m.learnControl(target, &reply)
 	return nil
 }
 
@@ -195,17 +217,6 @@
 	if len(reply.Control) > 0 {
 		m.control = reply.Control
 	}
-	if reply.DataCentre == m.centre {
-		return
-	}
-	// A control instance of the own data centre is preferred; unknown ones are tried once.
-	for _, name := range m.control {
-		if centre, known := m.centres[name]; !known || centre == m.centre {
-			m.current = name
-			m.centres[name] = centre
-			return
-		}
-	}
 }
 
 // allocators returns the control instances in the order in which they are asked for places.
