Order requests by worth for the time of a place

Cause: the expected output was taken from the most that a caller allows, ten times the mean, so that requests were refused as hopeless that had room, and long outputs went to slow engines that could not end them. Change: the caller's length hint or the mean of the tier; of the waiting requests the one worth most for the time that it keeps a place goes first; quotas grant rate and burst in each window.

--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -30,7 +30,9 @@
 // UndeterminedError reports a configuration that may or may not be stored.
 type UndeterminedError struct{ Cause error }
 
-func (e *UndeterminedError) Error() string { return fmt.Sprintf("core: outcome not known: %v", e.Cause) }
+func (e *UndeterminedError) Error() string {
+	return fmt.Sprintf("core: outcome not known: %v", e.Cause)
+}
 
 func (e *UndeterminedError) Unwrap() error { return e.Cause }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -144,20 +144,12 @@
 	}
 	c.table.Store(table)
 	c.options.Logger.Info().Uint64("number", r.Number).Int("bytes", len(r.Content)).Msg("configuration stored")
-	c.allocator.SetLimits(limits(table))
+	c.allocator.SetLimits(placement.Limits(table.Workspaces(), c.options.Settings.Bounds.QuotaWindow))
 	if c.hub != nil {
 		c.hub.notify()
 	}
 }
 
-func limits(t *routing.Table) []placement.Limit {
-	out := []placement.Limit{}
-	for _, w := range t.Workspaces() {
-		out = append(out, placement.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
-	}
-	return out
-}
-
 func (c *Core) enginesChanged(engines []placement.Engine) {
 	c.allocator.SetEngines(engines)
 	c.hub.notify()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -106,10 +106,7 @@
 }
 
 func (e *Edge) installed(t *routing.Table) {
-	limits := []placement.Limit{}
-	for _, w := range t.Workspaces() {
-		limits = append(limits, placement.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
-	}
+	limits := placement.Limits(t.Workspaces(), e.options.Settings.Bounds.QuotaWindow)
 	e.placer.must(placerEvent{kind: eventLimits, limits: limits})
 	e.once.Do(func() { close(e.configured) })
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -41,6 +41,7 @@
 	last      int           // number of the last of them, 0 while there is none
 	resumed   int
 	header    bool // an answer has begun
+	status    int  // of the answer that has begun
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,7 +41,7 @@
 			return
 		}
 		last = x.send(ctx, place)
-		place.end(outcomeOf(last), x.events)
+		place.end(outcomeOf(last), x.outputTokens())
 		if !x.sendAgain(last) {
 			x.conclude(last)
 			return
@@ -173,12 +173,22 @@
 	return r
 }
 
-// expectedOutput is the caller's estimate of the output tokens, or the most that it allows.
+// expectedOutput is the caller's estimate of the output tokens, 0 without one. The most that it allows
+// says little: outputs are a tenth of it on average.
 func (x *exchange) expectedOutput() int {
-	if hint, ok := platform.ParseLengthHint(x.request.Header); ok {
-		return min(hint, max(x.tokens.OutputMax, 1))
+	hint, ok := platform.ParseLengthHint(x.request.Header)
+	if !ok {
+		return 0
+	}
+	return min(hint, max(x.tokens.OutputMax, 1))
+}
+
+// outputTokens is the number of tokens of the events that were passed on.
+func (x *exchange) outputTokens() int {
+	if x.service.Model == nil {
+		return 0
 	}
-	return x.tokens.OutputMax
+	return x.events * x.service.Model.Stride
 }
 
 // giveUp gives the final answer of a request that gets no place. Only a request that no engine can
@@ -200,7 +210,7 @@
 func (x *exchange) conclude(last verdict) {
 	switch last {
 	case verdictDone:
-		x.log(http.StatusOK, reasonAnswered)
+		x.log(x.status, reasonAnswered)
 	case verdictGone:
 		x.abandoned()
 	case verdictBroken:
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -179,7 +179,7 @@
 	x.copyHeader(r)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(r.StatusCode)
-	x.header = true
+	x.header, x.status = true, r.StatusCode
 	if _, err := x.writer.Write(body); err != nil {
 		return verdictGone
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -109,7 +109,7 @@
 	}
 	x.copyHeader(r)
 	x.writer.WriteHeader(r.StatusCode)
-	x.header = true
+	x.header, x.status = true, r.StatusCode
 	x.first = clock() - x.arrived
 	x.edge.counters.firstEvent.Update(x.first.Seconds())
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -107,7 +107,7 @@
 		Self: r.store.identity, Founders: r.options.Voters, Peers: r.options.Peers,
 		ElectionTicks: r.options.ElectionTicks, HeartbeatTicks: r.options.HeartbeatTicks,
 		Staffing: r.options.Staffing,
-		Random: r.options.Random, Storage: r.store,
+		Random:   r.options.Random, Storage: r.store,
 	})
 	if err != nil {
 		return err
--- a/placement/core.go
+++ b/placement/core.go
@@ -28,6 +28,7 @@
 type entry struct {
 	Request
 	engine   *engine // nil while it waits
+	output   float64 // expected tokens
 	granted  time.Duration
 	started  bool // the first event arrived
 	startedA time.Duration
@@ -37,6 +38,7 @@
 	name    string
 	engines []*engine
 	waiting []*entry
+	outputs outputs
 }
 
 // New returns a core without engines.
@@ -91,7 +93,7 @@
 func (c *Core) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, outputs: outputs{}}
 		c.services[name] = s
 	}
 	return s
@@ -109,6 +111,7 @@
 	e := &entry{Request: r}
 	c.requests[r.ID] = e
 	s := c.service(r.Service)
+	c.estimate(s, e)
 	if c.overloaded(now, s, e) {
 		delete(c.requests, r.ID)
 		c.refund(r.Workspace, r.Charge)
@@ -130,6 +133,7 @@
 	}
 	e := &entry{Request: r, granted: now, started: started, startedA: now}
 	c.requests[r.ID] = e
+	c.estimate(c.service(r.Service), e)
 	at := c.engines[engineID]
 	if at == nil {
 		at = newEngine(Engine{ID: engineID, Service: r.Service, Leaving: true})
@@ -199,6 +203,7 @@
 	switch outcome {
 	case OutcomeAnswered:
 		at.answered(now)
+		c.service(e.Service).outputs.learn(e.Tier, tokens)
 		if e.started && tokens > 0 {
 			c.pace.learn(at, now-e.startedA, tokens)
 		}
@@ -263,11 +268,10 @@
 	if len(free) == 0 {
 		return false
 	}
-	e := c.next(now, s, free)
+	e, at := c.next(now, s, free)
 	if e == nil {
 		return false
 	}
-	at := c.best(now, e, free)
 	c.removeWaiting(e)
 	e.granted = now
 	at.add(e)
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -41,7 +41,7 @@
 	Charge     float64 // against the quota of the workspace
 	Tier       int     // 0 is the most urgent
 	Prompt     int     // tokens
-	Output     int     // expected tokens
+	Output     int     // expected tokens; 0 when the caller gives no estimate
 	Parts      []Part
 	Arrived    time.Duration
 	Objective  time.Duration // the first event is on time until then
--- a/placement/order.go
+++ b/placement/order.go
@@ -1,52 +1,90 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// tierStep is what a tier is worth in the order of requests that can still be on time: a request
-	// goes before one of the next tier that has up to this much less time left.
-	tierStep = 150 * time.Millisecond
-	// lateBase puts requests that can't be on time any more behind those that can: it is beyond the
-	// longest objective together with the steps of all tiers.
-	lateBase = time.Hour
-	// lateStep separates the tiers of late requests.
-	lateStep = 20 * time.Second
+	// tierValue is what a request is worth in relation to one of the tier before it. The users value
+	// their kinds of requests at 9, 1.8 and 0.41.
+	tierValue = 0.22
+	// lateValue is what an answer that is late is worth in relation to one that is on time. The users
+	// value it at three tenths.
+	lateValue = 0.3
+	// uselessValue is what a place is worth to a request that most likely can't end in time there. It
+	// is used when nothing else can use the place.
+	uselessValue = 0.02
+	// finishMargin is the part by which an estimate of the end may be too short.
+	finishMargin = 1.2
 	// farDistance is what it costs to use an engine in another data centre: a round trip, and the
 	// price of the bytes.
 	farDistance = 10 * time.Millisecond
 )
 
-// urgency orders the waiting requests; the least goes first. Requests that can still be on time go
-// first, by the time that they have left; work that is late anyway yields to them.
-func (c *Core) urgency(now time.Duration, e *entry) time.Duration {
-	slack := e.Objective - now - c.pace.least(e)
-	if slack >= 0 {
-		return slack + time.Duration(e.Tier)*tierStep
+// next returns the waiting request and the free engine that belong together: the request that is worth
+// most for the time that it keeps a place, at the engine where it ends first.
+func (c *Core) next(now time.Duration, s *service, free []*engine) (*entry, *engine) {
+	var best *entry
+	var at *engine
+	highest := -1.0
+	for _, e := range s.waiting {
+		engine, value := c.bestEngine(now, e, free)
+		if engine == nil {
+			continue
+		}
+		density := value * c.worth(e) / float64(c.pace.work(e, engine.Places)+minimalWork)
+		if density > highest {
+			best, at, highest = e, engine, density
+		}
 	}
-	return lateBase + time.Duration(e.Tier)*lateStep + (e.Arrived-now)/4
+	return best, at
 }
 
-// next returns the waiting request that goes first and may use one of the free engines.
-func (c *Core) next(now time.Duration, s *service, free []*engine) *entry {
-	var best *entry
+// minimalWork keeps tiny requests from counting as free.
+const minimalWork = 50 * time.Millisecond
+
+// worth is what an answer on time is worth in relation to one of the most urgent tier.
+func (c *Core) worth(e *entry) float64 { return math.Pow(tierValue, float64(e.Tier)) }
+
+// bestEngine returns the free engine that serves a request best, and the part of its worth that it
+// can still earn there.
+func (c *Core) bestEngine(now time.Duration, e *entry, free []*engine) (*engine, float64) {
+	var best *engine
+	var value float64
 	var least time.Duration
-	for _, e := range s.waiting {
-		u := c.urgency(now, e)
-		if (best == nil || u < least) && e.usable(free) {
-			best, least = e, u
+	for _, at := range free {
+		if e.excludes(at.ID) {
+			continue
+		}
+		v, cost := c.valueAt(now, e, at), c.costAt(e, at)
+		if best == nil || v > value || v == value && cost < least {
+			best, value, least = at, v, cost
 		}
 	}
-	return best
+	return best, value
 }
 
-// usable reports whether the request may go to one of the engines.
-func (e *entry) usable(engines []*engine) bool {
-	for _, at := range engines {
-		if !e.excludes(at.ID) {
-			return true
-		}
+// valueAt is the part of its worth that a request can still earn at an engine.
+func (c *Core) valueAt(now time.Duration, e *entry, at *engine) float64 {
+	first := c.pace.firstEvent(at, e)
+	end := now + first + time.Duration(float64(c.pace.finish(at, e)-first)*finishMargin)
+	switch {
+	case end > e.Deadline:
+		return uselessValue
+	case now+first > e.Objective:
+		return lateValue
 	}
-	return false
+	return 1
+}
+
+// costAt is the time to the end of a request at an engine, longer where more requests run.
+func (c *Core) costAt(e *entry, at *engine) time.Duration {
+	cost := c.pace.finish(at, e) * time.Duration(at.Places+len(at.runs)) / time.Duration(at.Places)
+	if at.DataCentre != e.DataCentre {
+		cost += farDistance
+	}
+	return cost
 }
 
 func (e *entry) excludes(engine string) bool {
@@ -57,22 +95,3 @@
 	}
 	return false
 }
-
-// best returns the free engine at which the request ends first; the request may use one of them.
-func (c *Core) best(_ time.Duration, e *entry, free []*engine) *engine {
-	var best *engine
-	var least time.Duration
-	for _, at := range free {
-		if e.excludes(at.ID) {
-			continue
-		}
-		cost := c.pace.finish(at, e) * time.Duration(at.Places+len(at.runs)) / time.Duration(at.Places)
-		if at.DataCentre != e.DataCentre {
-			cost += farDistance
-		}
-		if best == nil || cost < least {
-			best, least = at, cost
-		}
-	}
-	return best
-}
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -22,7 +22,7 @@
 			before += c.pace.work(other, places(s))
 		}
 	}
-	wait := time.Duration(float64(before) / capacity)
+	wait := time.Duration(float64(before) / capacity / float64(places(s)))
 	return now+wait+c.pace.least(e) > e.Deadline
 }
 
@@ -30,6 +30,9 @@
 // engine rests after a failure.
 const emptyPatience = failurePause
 
+// lateStep separates the tiers of late requests; it is longer than any deadline of the users.
+const lateStep = 20 * time.Second
+
 // lateOrder is the order in which requests are served when none of them can be on time any more.
 func (c *Core) lateOrder(e *entry) time.Duration {
 	return time.Duration(e.Tier)*lateStep + e.Arrived/4
@@ -64,5 +67,5 @@
 	for _, e := range s.waiting {
 		work += c.pace.work(e, places(s))
 	}
-	return min(max(time.Duration(float64(work)/capacity), retryLeast), retryMost)
+	return min(max(time.Duration(float64(work)/capacity/float64(places(s))), retryLeast), retryMost)
 }
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -50,13 +50,47 @@
 
 // finish estimates the time to the end of a request at an engine.
 func (p *pace) finish(e *engine, r *entry) time.Duration {
-	return p.firstEvent(e, r) + milliseconds(float64(r.Output)*p.step*e.slowness)
+	return p.firstEvent(e, r) + milliseconds(r.output*p.step*e.slowness)
 }
 
-// work estimates the time that a request keeps a whole engine busy: reading occupies all of it, and
-// writing one of its places.
+// work estimates the time that a request keeps one place of an engine of usual speed. Reading a prompt
+// holds up the other places as well, so it counts once for each of them.
 func (p *pace) work(r *entry, places int) time.Duration {
-	return milliseconds(float64(r.Prompt)*nominalRead + float64(r.Output)*p.step/float64(max(places, 1)))
+	return milliseconds(float64(r.Prompt)*nominalRead*float64(max(places, 1)) + r.output*p.step)
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// outputs holds the mean output by tier, for requests whose callers give no estimate.
+type outputs map[int]float64
+
+const (
+	// outputWeight is the weight of a new output in the mean.
+	outputWeight = 0.05
+	// usualOutput is expected before any output was seen, in tokens.
+	usualOutput = 256
+	// hintBias makes a mean of an estimate that is right at the median: its error is log-normal with a
+	// standard deviation of one half.
+	hintBias = 1.13
+)
+
+func (o outputs) learn(tier, tokens int) {
+	mean, known := o[tier]
+	if !known {
+		o[tier] = float64(tokens)
+		return
+	}
+	o[tier] = mean + (float64(tokens)-mean)*outputWeight
+}
+
+// estimate sets the expected output of a request.
+func (c *Core) estimate(s *service, e *entry) {
+	switch mean, known := s.outputs[e.Tier]; {
+	case e.Output > 0:
+		e.output = hintBias * float64(e.Output)
+	case known:
+		e.output = mean
+	default:
+		e.output = usualOutput
+	}
+}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -1,12 +1,47 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/routing"
+)
 
 // Limit is the quota of a workspace.
 type Limit struct {
 	Workspace string
 	Rate      float64 // units a second over all instances; 0 means no limit
 	Burst     float64 // units
+	// Window is the span in which Rate and Burst together may be spent.
+	Window time.Duration
+}
+
+// burstPart is the part of a burst that can be spent at once. The rest is spread over the window, so
+// that a workspace that asks for more than its rate for long gets all that the quota grants in a
+// window, and yet can't take the engines by storm.
+const burstPart = 0.5
+
+// refillRate and capacity make a bucket that passes Rate * Window + Burst in any window.
+func (l *Limit) refillRate() float64 {
+	if l.Window <= 0 {
+		return l.Rate
+	}
+	return l.Rate + (1-burstPart)*l.Burst/l.Window.Seconds()
+}
+
+func (l *Limit) capacity() float64 {
+	if l.Window <= 0 {
+		return l.Burst
+	}
+	return burstPart * l.Burst
+}
+
+// Limits returns the quotas of workspaces.
+func Limits(workspaces []routing.Workspace, window time.Duration) []Limit {
+	limits := make([]Limit, 0, len(workspaces))
+	for _, w := range workspaces {
+		limits = append(limits, Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst, Window: window})
+	}
+	return limits
 }
 
 // quota is a token bucket.
@@ -26,11 +61,11 @@
 		}
 		q := former[l.Workspace]
 		if q == nil {
-			q = &quota{Limit: l, level: l.Burst * c.share, updated: now}
+			q = &quota{Limit: l, level: l.capacity() * c.share, updated: now}
 		}
 		c.refill(now, q)
 		q.Limit = l
-		q.level = min(q.level, l.Burst*c.share)
+		q.level = min(q.level, l.capacity()*c.share)
 		c.quotas[l.Workspace] = q
 	}
 }
@@ -43,13 +78,13 @@
 	}
 	for _, q := range c.quotas {
 		c.refill(now, q)
-		q.level = min(q.level, q.Burst*share)
+		q.level = min(q.level, q.capacity()*share)
 	}
 	c.share = share
 }
 
 func (c *Core) refill(now time.Duration, q *quota) {
-	q.level = min(q.level+q.Rate*c.share*(now-q.updated).Seconds(), q.Burst*c.share)
+	q.level = min(q.level+q.refillRate()*c.share*(now-q.updated).Seconds(), q.capacity()*c.share)
 	q.updated = now
 }
 
@@ -61,9 +96,9 @@
 	}
 	c.refill(now, q)
 	// A request larger than the burst passes when the bucket is full.
-	need := min(charge, q.Burst*c.share)
+	need := min(charge, q.capacity()*c.share)
 	if q.level < need {
-		missing := (need - q.level) / max(q.Rate*c.share, 1)
+		missing := (need - q.level) / max(q.refillRate()*c.share, 1)
 		return min(max(time.Duration(missing*float64(time.Second)), retryLeast), retryMost), false
 	}
 	q.level -= charge
--- a/routing/document.go
+++ b/routing/document.go
@@ -66,6 +66,7 @@
 type Model struct {
 	Batch  int // requests that an engine runs at once
 	Memory int // tokens that an engine keeps
+	Stride int // tokens in one event of a stream
 }
 
 // Workspace is a customer with the keys that identify it.
