Give up on requests when their callers leave; refuse by the expected wait

Cause: callers leave a stream that has not begun after 3.2 s here, while requests waited for a place until their deadline of 12 s.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -162,7 +162,7 @@
 func (x *exchange) placementRequest() placement.Request {
 	r := placement.Request{
 		Service: x.service.Name, Tier: x.tier, Prompt: x.tokens.Prompt, Output: x.expectedOutput(),
-		Arrived: x.arrived, Objective: x.objective, Deadline: x.deadline, Excluded: x.excluded,
+		OutputMost: x.tokens.OutputMax, Arrived: x.arrived, Objective: x.objective, StartBy: x.startBy(), Deadline: x.deadline, Excluded: x.excluded,
 	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
@@ -173,6 +173,14 @@
 	return r
 }
 
+// startBy is the time until which the caller waits for the first event.
+func (x *exchange) startBy() time.Duration {
+	if x.header {
+		return min(clock()+x.route.Patience(), x.deadline)
+	}
+	return min(x.arrived+x.route.Patience(), x.deadline)
+}
+
 // expectedOutput is the caller's estimate of the output tokens, 0 without one. The most that it allows
 // says little: outputs are a tenth of it on average.
 func (x *exchange) expectedOutput() int {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -94,6 +94,8 @@
 	ObjectiveMS int64            `cbor:"10,keyasint,omitempty"`
 	DeadlineMS  int64            `cbor:"11,keyasint,omitempty"`
 	Excluded    []string         `cbor:"12,keyasint,omitempty"`
+	OutputMost  int              `cbor:"13,keyasint,omitempty"`
+	StartByMS   int64            `cbor:"14,keyasint,omitempty"`
 }
 
 // Run is a request that runs at an engine.
--- a/placement/core.go
+++ b/placement/core.go
@@ -29,6 +29,7 @@
 	Request
 	engine   *engine // nil while it waits
 	output   float64 // expected tokens
+	density  float64 // worth on time for a second of a place
 	granted  time.Duration
 	started  bool // the first event arrived
 	startedA time.Duration
@@ -39,6 +40,16 @@
 	engines []*engine
 	waiting []*entry
 	outputs outputs
+	sizes   sizes
+	recent  arrivals
+}
+
+// places returns the places of one engine of the service.
+func (s *service) places() int {
+	for _, e := range s.engines {
+		return e.Places
+	}
+	return 1
 }
 
 // New returns a core without engines.
@@ -93,7 +104,7 @@
 func (c *Core) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{name: name, outputs: outputs{}}
+		s = &service{name: name, outputs: outputs{}, sizes: sizes{}}
 		c.services[name] = s
 	}
 	return s
@@ -112,10 +123,12 @@
 	c.requests[r.ID] = e
 	s := c.service(r.Service)
 	c.estimate(s, e)
-	if c.overloaded(now, s, e) {
+	wait := c.expectedWait(now, s, e)
+	s.recent.add(now, e.density, c.pace.work(e, s.places()))
+	if now+wait+c.pace.least(e) > min(e.StartBy, e.Deadline) {
 		delete(c.requests, r.ID)
 		c.refund(r.Workspace, r.Charge)
-		c.reject(e, ReasonOverload, c.retryAfter(now, s))
+		c.reject(e, ReasonOverload, retryTime(wait))
 		return
 	}
 	s.waiting = append(s.waiting, e)
@@ -305,13 +318,13 @@
 func (c *Core) expire(now time.Duration, s *service) {
 	kept := s.waiting[:0]
 	for _, e := range s.waiting {
-		if now+c.pace.least(e) <= e.Deadline {
+		if now+c.pace.least(e) <= min(e.StartBy, e.Deadline) {
 			kept = append(kept, e)
 			continue
 		}
 		delete(c.requests, e.ID)
 		c.refund(e.Workspace, e.Charge)
-		c.reject(e, ReasonDeadline, c.retryAfter(now, s))
+		c.reject(e, ReasonDeadline, retryTime(c.expectedWait(now, s, e)))
 	}
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -42,9 +42,11 @@
 	Tier       int     // 0 is the most urgent
 	Prompt     int     // tokens
 	Output     int     // expected tokens; 0 when the caller gives no estimate
+	OutputMost int     // tokens that the caller allows
 	Parts      []Part
 	Arrived    time.Duration
 	Objective  time.Duration // the first event is on time until then
+	StartBy    time.Duration // the caller leaves without a first event by then
 	Deadline   time.Duration // the answer is of no use afterwards
 	Excluded   []string      // engines that failed this request
 }
--- a/placement/order.go
+++ b/placement/order.go
@@ -33,8 +33,7 @@
 		if engine == nil {
 			continue
 		}
-		density := value * c.worth(e) / float64(c.pace.work(e, engine.Places)+minimalWork)
-		if density > highest {
+		if density := value * e.density; density > highest {
 			best, at, highest = e, engine, density
 		}
 	}
@@ -44,8 +43,41 @@
 // minimalWork keeps tiny requests from counting as free.
 const minimalWork = 50 * time.Millisecond
 
-// worth is what an answer on time is worth in relation to one of the most urgent tier.
-func (c *Core) worth(e *entry) float64 { return math.Pow(tierValue, float64(e.Tier)) }
+// setDensity sets what an answer on time is worth, in relation to a usual one of the most urgent tier,
+// for a second of a place.
+func (c *Core) setDensity(s *service, e *entry) {
+	worth := math.Pow(tierValue, float64(e.Tier)) * s.sizes.worth(e)
+	e.density = worth / (c.pace.work(e, s.places()) + minimalWork).Seconds()
+}
+
+// sizes holds the mean size of the requests by tier.
+type sizes map[int]float64
+
+const (
+	// sizeWeight is the weight of a new request in the mean.
+	sizeWeight = 0.02
+	// outputSize is the size of an output token in prompt tokens.
+	outputSize = 10
+	// fixedWorth is the part of a request's worth that does not grow with its size, mostWorth the most
+	// that a large one is worth of a usual one. Both are the users'.
+	fixedWorth = 0.3
+	mostWorth  = 4
+)
+
+// worth is what a request is worth in relation to the mean of its tier.
+func (z sizes) worth(e *entry) float64 {
+	size := float64(e.Prompt + outputSize*e.OutputMost)
+	mean, known := z[e.Tier]
+	if !known {
+		mean = size
+	}
+	mean += (size - mean) * sizeWeight
+	z[e.Tier] = mean
+	if mean <= 0 {
+		return 1
+	}
+	return min(fixedWorth+(1-fixedWorth)*size/mean, mostWorth)
+}
 
 // bestEngine returns the free engine that serves a request best, and the part of its worth that it
 // can still earn there.
@@ -70,7 +102,7 @@
 	first := c.pace.firstEvent(at, e)
 	end := now + first + time.Duration(float64(c.pace.finish(at, e)-first)*finishMargin)
 	switch {
-	case end > e.Deadline:
+	case end > e.Deadline || now+first > e.StartBy:
 		return uselessValue
 	case now+first > e.Objective:
 		return lateValue
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -93,4 +93,5 @@
 	default:
 		e.output = usualOutput
 	}
+	c.setDensity(s, e)
 }
--- a/routing/document.go
+++ b/routing/document.go
@@ -48,6 +48,21 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resume
 }
 
+// Callers of streams leave after a pause, also before the first event, that is the longest of these.
+const (
+	leastPatience      = 2 * time.Second
+	objectivesPatience = 4 // objectives
+	gapsPatience       = 8 // longest pauses that are on time
+)
+
+// Patience is how long a caller waits for the first event of a stream, or for the next one.
+func (r *Route) Patience() time.Duration {
+	if r.Kind != KindStream {
+		return r.Timeout
+	}
+	return max(leastPatience, objectivesPatience*r.Objective, gapsPatience*r.EventGap)
+}
+
 // Target is a service with its share of a route's requests.
 type Target struct {
 	Service string
