Let the leader read the list of engines for all; keep connections for 8 s

Cause: every control instance read the list (34 calls/s with 8 of them), and connections to engines were closed after 4 s without a request.

--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/replica"
@@ -102,14 +103,16 @@
 	if err != nil {
 		return fleet.Confirmed{}, err
 	}
-	request := fleet.Confirm{Entries: c.hub.attachedNames(), Read: read}
+	request := fleet.Confirm{Entries: c.hub.attachedNames(), Read: read, Directory: c.directory.State().Digest}
 	if leader == c.name {
 		return c.confirmHere(ctx, request)
 	}
+	asked := boottime.Now()
 	var reply fleet.Confirmed
 	if err := c.link.Call(ctx, leader, fleet.KindConfirm, request, &reply); err != nil {
 		return fleet.Confirmed{}, err
 	}
+	c.directory.Import(reply.List, asked)
 	c.hub.learnEntries(reply.Entries)
 	return reply, nil
 }
@@ -119,7 +122,7 @@
 		return fleet.Confirmed{}, err
 	}
 	current := c.register.Current()
-	reply := fleet.Confirmed{Number: current.Number, Entries: c.hub.entries()}
+	reply := fleet.Confirmed{Number: current.Number, Entries: c.hub.entries(), List: c.directory.Export(request.Directory)}
 	if request.Read {
 		reply.Content = current.Content
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,7 +91,7 @@
 	})
 	c.hub = newHub(c)
 	c.directory = directory.New(directory.Options{
-		Address: s.Directory.Address, Interval: directoryInterval, Changed: c.enginesChanged,
+		Address: s.Directory.Address, Interval: directoryInterval, Changed: c.enginesChanged, Wanted: c.wantsDirectory,
 		Logger: o.Logger, Metrics: o.Metrics,
 	})
 	c.replica, err = replica.New(c.replicaOptions())
@@ -106,9 +106,18 @@
 	return c, nil
 }
 
-// directoryInterval is the period at which each control instance reads the list of engines. With the
-// list's own lag of 0.8 s a leaving engine is known after 1.5 s, half of the time allowed.
-const directoryInterval = 700 * time.Millisecond
+const (
+	// directoryInterval is the period at which the leader reads the list of engines. With the list's own
+	// lag of 0.8 s a leaving engine is known after 1.5 s, half of the time allowed.
+	directoryInterval = 700 * time.Millisecond
+	// directoryStale is the age from which a control instance that doesn't lead reads the list itself.
+	directoryStale = 1300 * time.Millisecond
+)
+
+// wantsDirectory reports whether this instance has to read the list of engines itself.
+func (c *Core) wantsDirectory() bool {
+	return c.leads.Load() || c.directory.State().Age() > directoryStale
+}
 
 func (c *Core) replicaOptions() replica.Options {
 	s := c.options.Settings
--- a/internal/core/hub.go
+++ b/internal/core/hub.go
@@ -53,11 +53,7 @@
 	if current := h.core.register.Current(); current.Number > request.Number {
 		reply.Number, reply.Content = current.Number, current.Content
 	}
-	list := h.core.directory.State()
-	reply.Digest, reply.DirectoryAgeMS = list.Digest, list.Age().Milliseconds()
-	if list.Digest != request.Directory {
-		reply.Engines = list.Engines
-	}
+	reply.List = h.core.directory.Export(request.Directory)
 	return reply, nil
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 )
@@ -138,6 +139,27 @@
 	}
 }
 
+// Export returns the list for another instance that has one with this digest.
+func (r *Reader) Export(digest uint64) fleet.List {
+	s := r.State()
+	out := fleet.List{Digest: s.Digest, AgeMS: s.Age().Milliseconds()}
+	if s.Digest != digest {
+		out.Engines = s.Engines
+	}
+	return out
+}
+
+// Import takes a list from another instance that was asked for it at a time.
+func (r *Reader) Import(l fleet.List, asked boottime.Time) {
+	readAt := asked.Add(-time.Duration(l.AgeMS) * time.Millisecond)
+	switch {
+	case l.Engines != nil:
+		r.Store(l.Engines, readAt)
+	case l.Digest == r.State().Digest:
+		r.Touch(readAt)
+	}
+}
+
 // Touch marks the present list as read at a time, since another instance holds the same one.
 func (r *Reader) Touch(readAt boottime.Time) {
 	r.mu.Lock()
--- a/internal/edge/member.go
+++ b/internal/edge/member.go
@@ -157,7 +157,7 @@
 			return err
 		}
 	}
-	m.takeDirectory(asked, &reply)
+	m.directory.Import(reply.List, asked)
 	m.renewLease(asked, &reply)
 	m.learnControl(target, &reply)
 	if !reply.IsConfirmed {
@@ -183,16 +183,6 @@
 	return nil
 }
 
-func (m *member) takeDirectory(asked boottime.Time, reply *fleet.Attached) {
-	readAt := asked.Add(-time.Duration(reply.DirectoryAgeMS) * time.Millisecond)
-	switch {
-	case reply.Engines != nil:
-		m.directory.Store(reply.Engines, readAt)
-	case reply.Digest == m.directory.State().Digest:
-		m.directory.Touch(readAt)
-	}
-}
-
 // renewLease extends the lease when a quorum confirmed, after the question was sent, that no newer
 // configuration than the one in force here is stored. A key that a later one takes away is honoured
 // no longer than the lease, which ends before the users' bound.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -27,6 +27,9 @@
 // resendLimit bounds the sends of a request that no engine has run, beyond the attempts of its route.
 const resendLimit = 2
 
+// unreachedLimit bounds the engines that a request tries without getting a connection.
+const unreachedLimit = 6
+
 // resendMargin is the least time that must be left for another send to make sense.
 const resendMargin = 30 * time.Millisecond
 
@@ -74,7 +77,9 @@
 		return false
 	}
 	switch last {
-	case verdictUnreached, verdictRefused:
+	case verdictUnreached:
+		return x.resumed < unreachedLimit // Nothing arrived anywhere, so nothing is repeated.
+	case verdictRefused:
 		if x.resumed >= resendLimit+x.route.Attempts {
 			return false
 		}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -249,8 +249,9 @@
 	dialTimeout = 300 * time.Millisecond
 	// silentTimeout is how long sent bytes may stay unacknowledged before a connection is given up.
 	silentTimeout = 2 * time.Second
-	// idleTimeout is how long a connection is kept without a request.
-	idleTimeout = 4 * time.Second
+	// idleTimeout is how long a connection is kept without a request: four fifths of the 10 s after which
+	// engines close theirs, so that a request rarely meets the close.
+	idleTimeout = 8 * time.Second
 	// idlePerEngine bounds the idle connections to one engine.
 	idlePerEngine = 64
 )
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -34,16 +34,17 @@
 	Leader         string             `cbor:"5,keyasint,omitempty"`
 	Control        []string           `cbor:"6,keyasint,omitempty"` // all control instances
 	DataCentre     string             `cbor:"7,keyasint,omitempty"` // of the answering instance
-	Digest         uint64             `cbor:"8,keyasint,omitempty"` // of Engines
-	Engines        []placement.Engine `cbor:"9,keyasint,omitempty"` // when the sender has another list
-	DirectoryAgeMS int64              `cbor:"10,keyasint,omitempty"`
-	Entries        int                `cbor:"11,keyasint,omitempty"` // entry instances that are known
+	List           List               `cbor:"8,keyasint,omitempty"`
+	Entries        int                `cbor:"9,keyasint,omitempty"` // entry instances that are known
 }
 
 // Confirm asks the leader for the newest number, confirmed by a quorum after the call.
 type Confirm struct {
 	Entries []string `cbor:"1,keyasint,omitempty"` // entry instances attached to the sender
 	Read    bool     `cbor:"2,keyasint,omitempty"` // the content is asked for as well
+	// Directory is the digest of the sender's list of engines. The leader reads the platform's list
+	// for all, since the platform limits and charges the calls.
+	Directory uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Confirmed answers Confirm.
@@ -51,6 +52,14 @@
 	Number  uint64 `cbor:"1,keyasint,omitempty"`
 	Entries int    `cbor:"2,keyasint,omitempty"`
 	Content []byte `cbor:"3,keyasint,omitempty"` // when Confirm.Read is set
+	List    List   `cbor:"4,keyasint,omitempty"`
+}
+
+// List is a list of engines on its way to another instance.
+type List struct {
+	Digest  uint64             `cbor:"1,keyasint,omitempty"`
+	Engines []placement.Engine `cbor:"2,keyasint,omitempty"` // when the receiver has another list
+	AgeMS   int64              `cbor:"3,keyasint,omitempty"`
 }
 
 // Submit asks the leader to store a configuration.
