Let callers without quota return one after the other

Cause: every caller that was refused for its quota was told to return when the bucket would hold its own charge, so all came back together and most were refused again. Change: each refusal books its charge, up to 1.5 s ahead.

--- a/placement/quota.go
+++ b/placement/quota.go
@@ -49,6 +49,7 @@
 	Limit
 	level   float64 // units that may be spent; below 0 after charges of others
 	updated time.Duration
+	booked  time.Duration // until then the quota is used up by callers that were told to return
 }
 
 // SetQuotas replaces the quotas. A bucket keeps its level as far as the new burst allows.
@@ -98,13 +99,24 @@
 	// A request larger than the burst passes when the bucket is full.
 	need := min(charge, q.capacity()*c.share)
 	if q.level < need {
-		missing := (need - q.level) / max(q.refillRate()*c.share, 1)
-		return min(max(time.Duration(missing*float64(time.Second)), retryLeast), retryMost), false
+		return q.book(now, need, max(q.refillRate()*c.share, 1)), false
 	}
 	q.level -= charge
 	return 0, true
 }
 
+// book returns the time until a caller that is refused finds its charge in the quota, behind those that
+// were refused before.
+func (q *quota) book(now time.Duration, charge, rate float64) time.Duration {
+	missing := time.Duration(max(charge-q.level, 0) / rate * float64(time.Second))
+	q.booked = min(max(q.booked+time.Duration(charge/rate*float64(time.Second)), now+missing), now+bookMost)
+	return max(q.booked-now, retryLeast)
+}
+
+// bookMost bounds the time after which a caller without quota is told to return: half of the time that
+// callers wait for the first event of a stream.
+const bookMost = 1500 * time.Millisecond
+
 // Charge takes what an instance spent without asking.
 func (c *Core) Charge(now time.Duration, workspace string, charge float64) {
 	if q := c.quotas[workspace]; q != nil {
