--- /dev/null
+++ b/placement/core_test.go
@@ -0,0 +1,273 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func testEngine(id string, places int) Engine {
+	return Engine{ID: id, Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Places: places}
+}
+
+func testRequest(id string) Request {
+	return Request{
+		ID: RequestID(id), Owner: "edge", DataCentre: "a", Service: "s", Prompt: 100, Output: 10, OutputMost: 100,
+		Objective: time.Second, StartBy: 3 * time.Second, Deadline: 10 * time.Second,
+	}
+}
+
+// Guards against engines that are given more than their places, against requests that are granted
+// twice, and against requests that are lost: each ends with a grant, a rejection or a withdrawal.
+func TestPlacesAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		places := rapid.IntRange(1, 4).Draw(t, "places")
+		c.SetEngines([]Engine{testEngine("e1", places), testEngine("e2", places)})
+		running := map[RequestID]string{}
+		waiting := map[RequestID]bool{}
+		now := time.Duration(0)
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				r := testRequest(fmt.Sprint(step))
+				r.Objective, r.StartBy, r.Deadline = now+time.Second, now+3*time.Second, now+10*time.Second
+				c.Arrive(now, r)
+				waiting[r.ID] = true
+			case 2:
+				for id := range running {
+					outcome := Outcome(rapid.IntRange(int(OutcomeAnswered), int(OutcomeUnused)).Draw(t, "outcome"))
+					c.End(now, id, outcome, 10)
+					delete(running, id)
+					break
+				}
+			case 3:
+				for id := range waiting {
+					c.Withdraw(id)
+					delete(waiting, id)
+					break
+				}
+			}
+			grants, rejections := c.Decide(now)
+			load := map[string]int{}
+			for _, g := range grants {
+				if !waiting[g.Request] {
+					t.Fatalf("%s was granted and does not wait", g.Request)
+				}
+				delete(waiting, g.Request)
+				running[g.Request] = g.Engine.ID
+			}
+			for _, r := range rejections {
+				if !waiting[r.Request] {
+					t.Fatalf("%s was rejected and does not wait", r.Request)
+				}
+				delete(waiting, r.Request)
+			}
+			for _, engine := range running {
+				load[engine]++
+				if load[engine] > places {
+					t.Fatalf("%s has %d runs, %d places", engine, load[engine], places)
+				}
+			}
+			if c.Waiting() != len(waiting) {
+				t.Fatalf("%d requests wait, %d expected", c.Waiting(), len(waiting))
+			}
+		}
+	})
+}
+
+// Guards against a quota that lets more pass in some window than its rate and burst, over a core that
+// is asked for far more.
+func TestQuotaHoldsInEveryWindow(t *testing.T) {
+	is := is.New(t)
+	const window = 8 * time.Second
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 4)})
+	c.SetQuotas(0, []Limit{{Workspace: "w", Rate: 1000, Burst: 2000, Window: window}})
+	type pass struct {
+		at     time.Duration
+		charge float64
+	}
+	var passed []pass
+	for now := time.Duration(0); now < 40*time.Second; now += 5 * time.Millisecond {
+		r := testRequest(fmt.Sprint(now))
+		r.Workspace, r.Charge = "w", 100
+		r.Objective, r.StartBy, r.Deadline = now+time.Second, now+3*time.Second, now+10*time.Second
+		c.Arrive(now, r)
+		grants, _ := c.Decide(now)
+		for _, g := range grants {
+			passed = append(passed, pass{now, r.Charge})
+			c.End(now, g.Request, OutcomeAnswered, 1)
+		}
+	}
+	for i := range passed {
+		sum := 0.0
+		for _, p := range passed[i:] {
+			if p.at-passed[i].at < window {
+				sum += p.charge
+			}
+		}
+		is.True(sum <= 1000*window.Seconds()+2000)
+	}
+	is.True(float64(len(passed))*100 >= 0.95*1000*40) // and it is not wasted
+}
+
+// Guards against cores that are cut off from each other and spend a quota twice.
+func TestSharesOfQuotaAddUp(t *testing.T) {
+	is := is.New(t)
+	total := 0.0
+	for _, share := range []float64{0.25, 0.75} {
+		c := New()
+		c.SetEngines([]Engine{testEngine("e", 4)})
+		c.SetShare(0, share)
+		c.SetQuotas(0, []Limit{{Workspace: "w", Rate: 1000, Burst: 1000, Window: 8 * time.Second}})
+		for now := time.Duration(0); now < 8*time.Second; now += 5 * time.Millisecond {
+			r := testRequest(fmt.Sprint(now))
+			r.Workspace, r.Charge = "w", 50
+			r.StartBy, r.Deadline = now+3*time.Second, now+10*time.Second
+			c.Arrive(now, r)
+			grants, _ := c.Decide(now)
+			for _, g := range grants {
+				total += 50
+				c.End(now, g.Request, OutcomeAnswered, 1)
+			}
+		}
+	}
+	is.True(total <= 9000)
+}
+
+// Guards against all engines being taken out by failures whose cause is elsewhere (trouble-1 on riga:
+// answers lost between all engines and the instances).
+func TestFewEnginesRestForFailures(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	var list []Engine
+	for i := range 8 {
+		list = append(list, testEngine(fmt.Sprint("e", i), 1))
+	}
+	c.SetEngines(list)
+	now := time.Duration(0)
+	for i := range 400 {
+		now += 10 * time.Millisecond
+		r := testRequest(fmt.Sprint(i))
+		r.Objective, r.StartBy, r.Deadline = now+time.Second, now+3*time.Second, now+10*time.Second
+		c.Arrive(now, r)
+		grants, _ := c.Decide(now)
+		for _, g := range grants {
+			c.End(now, g.Request, OutcomeFailed, 0)
+		}
+	}
+	resting := 0
+	for _, e := range c.engines {
+		if now < e.restsUntil || e.probation {
+			resting++
+		}
+	}
+	is.True(resting > 0)
+	is.True(resting <= 2)
+}
+
+// Guards against an engine that accepts requests and stays silent taking one after the other.
+func TestSilentEngineGetsNoMore(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 10)})
+	c.Arrive(time.Second, testRequest("1"))
+	grants, _ := c.Decide(time.Second)
+	is.Equal(len(grants), 1)
+	late := testRequest("2")
+	late.StartBy = 20 * time.Second
+	late.Deadline = 20 * time.Second
+	c.Arrive(3*time.Second, late)
+	grants, _ = c.Decide(3 * time.Second)
+	is.Equal(len(grants), 0)
+	c.Started(4*time.Second, "1") // the engine lives
+	grants, _ = c.Decide(4 * time.Second)
+	is.Equal(len(grants), 1)
+}
+
+// Guards against a crashed engine that is flooded as soon as its rest is over.
+func TestEngineIsTriedWithOneRunAfterRest(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 10)})
+	c.Arrive(time.Second, testRequest("1"))
+	c.Decide(time.Second)
+	c.End(time.Second, "1", OutcomeUnreached, 0)
+	now := 2500 * time.Millisecond
+	for i := range 3 {
+		r := testRequest(fmt.Sprint("later", i))
+		r.StartBy, r.Deadline = now+3*time.Second, now+10*time.Second
+		c.Arrive(now, r)
+	}
+	grants, _ := c.Decide(now)
+	is.Equal(len(grants), 1)
+	c.End(now, grants[0].Request, OutcomeAnswered, 1)
+	grants, _ = c.Decide(now)
+	is.Equal(len(grants), 2)
+}
+
+// Guards against an engine that is given work after the list has shown it as leaving, also when an
+// older list shows it as ready once more.
+func TestLeavingIsFinal(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	leaving := testEngine("e", 1)
+	leaving.Leaving = true
+	c.SetEngines([]Engine{leaving})
+	c.SetEngines([]Engine{testEngine("e", 1)})
+	c.Arrive(0, testRequest("1"))
+	grants, _ := c.Decide(0)
+	is.Equal(len(grants), 0)
+}
+
+// Guards against a request that is placed beyond the engines of the data centre by an allocator that
+// does not lead: another one may place there as well.
+func TestScopeLimitsEngines(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	far := testEngine("far", 1)
+	far.DataCentre = "b"
+	c.SetEngines([]Engine{far})
+	c.SetScope("a")
+	patient := testRequest("1")
+	patient.StartBy = 10 * time.Second
+	c.Arrive(0, patient)
+	grants, _ := c.Decide(0)
+	is.Equal(len(grants), 0)
+	c.SetScope("")
+	grants, _ = c.Decide(0)
+	is.Equal(len(grants), 1)
+}
+
+// Guards against a plain service whose engines are picked without regard to their load, data centre or
+// failures.
+func TestBalancer(t *testing.T) {
+	is := is.New(t)
+	b := NewBalancer("a")
+	near, far := testEngine("near", 4), testEngine("far", 4)
+	far.DataCentre = "b"
+	b.SetEngines([]Engine{near, far})
+	pick := func(now time.Duration, excluded ...string) string {
+		e, ok := b.Pick(now, "s", excluded)
+		if !ok {
+			return ""
+		}
+		return e.ID
+	}
+	is.Equal(pick(0), "near")
+	b.State(0, "near", 4)
+	is.Equal(pick(0), "far") // the near one is full
+	is.Equal(pick(0, "near", "far"), "")
+	b.Done(0, "near", OutcomeUnreached)
+	b.Done(0, "far", OutcomeAnswered)
+	is.Equal(pick(500*time.Millisecond), "far") // the near one rests
+	b.Done(500*time.Millisecond, "far", OutcomeUnreached)
+	is.Equal(pick(600*time.Millisecond), "near") // both rest: better than none
+	b.Done(600*time.Millisecond, "near", OutcomeAnswered)
+	is.Equal(pick(10*time.Second), "near")
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func validDocument() *Document {
+	return &Document{
+		Number: 3,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", PathPrefix: "/", Timeout: time.Second, Targets: []Target{{Service: "s1", Weight: 1}}},
+			{Name: "deep", Host: "a.example", PathPrefix: "/x/y/", Timeout: time.Second, Targets: []Target{{Service: "s1", Weight: 90}, {Service: "s2", Weight: 10}}},
+			{Name: "middle", Host: "A.example", PathPrefix: "/x/", Timeout: time.Second, Targets: []Target{{Service: "s2", Weight: 1}}},
+		},
+		Services:   []Service{{Name: "s1"}, {Name: "s2"}},
+		Workspaces: []Workspace{{Name: "w1", Keys: []string{"k1", "k2"}}, {Name: "w2", Keys: []string{"k3"}}},
+	}
+}
+
+// Guards against requests that reach another route than that of their host with the longest prefix.
+func TestMatch(t *testing.T) {
+	table, err := Compile(validDocument())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ host, path, route string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example:8080", "/x/z", "middle"},
+		{"A.EXAMPLE", "/x", "all"},
+		{"b.example", "/x/y/z", ""},
+	} {
+		name := ""
+		if r := table.Match(test.host, test.path); r != nil {
+			name = r.Name
+		}
+		if name != test.route {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, name, test.route)
+		}
+	}
+}
+
+// Guards against invalid configurations that are accepted.
+func TestCompileRefuses(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		spoil  func(*Document)
+		reason Reason
+	}{
+		{"unknown service", func(d *Document) { d.Routes[0].Targets[0].Service = "s9" }, ReasonUnknownService},
+		{"same place", func(d *Document) { d.Routes[2].PathPrefix = "/" }, ReasonRepeatedPlace},
+		{"no weight", func(d *Document) { d.Routes[0].Targets[0].Weight = 0 }, ReasonNoWeight},
+		{"negative weight", func(d *Document) { d.Routes[1].Targets[1].Weight = -1 }, ReasonNoWeight},
+		{"no timeout", func(d *Document) { d.Routes[0].Timeout = 0 }, ReasonNoTimeout},
+		{"shared key", func(d *Document) { d.Workspaces[1].Keys = []string{"k1"} }, ReasonSharedKey},
+		{"prefix without slash", func(d *Document) { d.Routes[1].PathPrefix = "/x/y" }, ReasonPrefix},
+		{"repeated service", func(d *Document) { d.Services[1].Name = "s1" }, ReasonRepeatedService},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := validDocument()
+			test.spoil(d)
+			_, err := Compile(d)
+			var fault *FaultError
+			is.True(errors.As(err, &fault))
+			is.Equal(fault.Reason, test.reason)
+		})
+	}
+}
+
+// Guards against weights that are not kept.
+func TestPickKeepsWeights(t *testing.T) {
+	is := is.New(t)
+	table, err := Compile(validDocument())
+	is.NoErr(err)
+	route := table.Match("a.example", "/x/y/z")
+	second := 0
+	for i := range 1000 {
+		if route.Pick(float64(i)/1000) == "s2" {
+			second++
+		}
+	}
+	is.Equal(second, 100)
+	is.Equal(route.Pick(1), "s2")
+}
+
+// Guards against quotas that are charged in the wrong unit.
+func TestCharge(t *testing.T) {
+	is := is.New(t)
+	tokens := Workspace{InTokens: true, PlainTokens: 200}
+	is.Equal(tokens.Charge(1540), 1540.0)
+	is.Equal(tokens.Charge(0), 200.0)
+	is.Equal((&Workspace{}).Charge(1540), 1.0)
+}
+
+// Guards against streams that wait longer than their callers do.
+func TestPatience(t *testing.T) {
+	is := is.New(t)
+	stream := Route{Kind: KindStream, Timeout: 12 * time.Second, Objective: 600 * time.Millisecond, EventGap: 400 * time.Millisecond}
+	is.Equal(stream.Patience(), 3200*time.Millisecond)
+	stream.Objective, stream.EventGap = time.Second, 0
+	is.Equal(stream.Patience(), 4*time.Second)
+	plain := Route{Kind: KindIdempotent, Timeout: time.Second}
+	is.Equal(plain.Patience(), time.Second)
+}
