--- /dev/null
+++ b/internal/allocator/allocator_test.go
@@ -0,0 +1,178 @@
+package allocator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/placement"
+)
+
+// collector keeps the answers by receiver.
+type collector struct {
+	mu      sync.Mutex
+	answers map[string][]fleet.Answer
+}
+
+func (c *collector) Send(to string, _ link.Kind, body any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[to] = append(c.answers[to], *body.(*fleet.Answer))
+	return nil
+}
+
+func (c *collector) Call(context.Context, string, link.Kind, any, any) error { return nil }
+
+// take returns and forgets the answers to an instance, joined.
+func (c *collector) take(to string) (joined fleet.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.answers[to] {
+		joined.Again = joined.Again || a.Again
+		joined.Received = a.Received
+		joined.Grants = append(joined.Grants, a.Grants...)
+		joined.Rejections = append(joined.Rejections, a.Rejections...)
+	}
+	delete(c.answers, to)
+	return joined
+}
+
+func newTestAllocator(places int) (*Allocator, *collector) {
+	out := &collector{answers: map[string][]fleet.Answer{}}
+	a := New(Options{Caller: out, DataCentre: "a", Logger: zerolog.Nop(), Metrics: metrics.NewSet()})
+	a.core.SetEngines([]placement.Engine{{ID: "e", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Places: places}})
+	return a, out
+}
+
+func sender(name string, incarnation uint64) link.Sender {
+	return link.Sender{Name: name, DataCentre: "a", Incarnation: incarnation}
+}
+
+// play delivers an update at a time and carries out what follows.
+func (a *Allocator) play(now time.Duration, from link.Sender, u fleet.Update) {
+	a.update(now, from, &u)
+	a.decide(now)
+	a.send()
+}
+
+func waiting(id uint64) fleet.Arrival {
+	return fleet.Arrival{ID: id, Service: "s", Prompt: 10, Output: 10, ObjectiveMS: 1000, StartByMS: 3000, DeadlineMS: 9000}
+}
+
+// Guards against requests that are lost with an update: the stream has a gap, and a whole update brings
+// everything again.
+func TestGapAsksForWholeUpdate(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(1)
+	edge := sender("edge", 1)
+	a.play(1, edge, fleet.Update{Sequence: 1, Whole: true})
+	is.True(!out.take("edge").Again)
+	a.play(2, edge, fleet.Update{Sequence: 3, Arrivals: []fleet.Arrival{waiting(8)}}) // 2 was lost
+	answer := out.take("edge")
+	is.True(answer.Again)
+	is.Equal(len(answer.Grants), 0)
+	a.play(3, edge, fleet.Update{Sequence: 4, Whole: true, Arrivals: []fleet.Arrival{waiting(7), waiting(8)}})
+	answer = out.take("edge")
+	is.True(!answer.Again)
+	is.Equal(len(answer.Grants), 1)
+	is.Equal(answer.Received, uint64(4))
+}
+
+// Guards against a grant that is lost on its way and keeps its place for ever.
+func TestLostGrantIsRepeated(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(1)
+	edge := sender("edge", 1)
+	a.play(1, edge, fleet.Update{Sequence: 1, Whole: true, Arrivals: []fleet.Arrival{waiting(7)}})
+	is.Equal(len(out.take("edge").Grants), 1)
+	a.play(2, edge, fleet.Update{Sequence: 2, Whole: true, Arrivals: []fleet.Arrival{waiting(7)}})
+	answer := out.take("edge")
+	is.Equal(len(answer.Grants), 1)
+	is.Equal(answer.Grants[0].ID, uint64(7))
+	is.Equal(answer.Grants[0].Engine.ID, "e")
+}
+
+// Guards against an engine that is given more than its places by an allocator that has just started,
+// or has lost an update that told of the end of a run.
+func TestWholeUpdateReplacesWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(1)
+	edge := sender("edge", 1)
+	running := fleet.Run{Arrival: waiting(1), Engine: "e"}
+	a.play(1, edge, fleet.Update{Sequence: 1, Whole: true, Runs: []fleet.Run{running}, Arrivals: []fleet.Arrival{waiting(2)}})
+	is.Equal(len(out.take("edge").Grants), 0) // the place is taken
+	a.play(2, edge, fleet.Update{Sequence: 2, Whole: true, Arrivals: []fleet.Arrival{waiting(2)}})
+	is.Equal(len(out.take("edge").Grants), 1)
+}
+
+// Guards against places that stay taken by an instance that was restarted, left or fell silent.
+func TestPlacesOfLostInstancesAreFreed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lose func(a *Allocator)
+	}{
+		{"restarted", func(a *Allocator) { a.play(2, sender("lost", 2), fleet.Update{Sequence: 1, Whole: true}) }},
+		{"left", func(a *Allocator) { a.play(2, sender("lost", 1), fleet.Update{Leave: true}) }},
+		{"silent", func(a *Allocator) { a.owners["lost"].heard = -time.Hour; a.forgetOwners(2) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a, out := newTestAllocator(1)
+			a.play(1, sender("lost", 1), fleet.Update{Sequence: 1, Whole: true, Arrivals: []fleet.Arrival{waiting(1)}})
+			a.play(1, sender("edge", 1), fleet.Update{Sequence: 1, Whole: true, Arrivals: []fleet.Arrival{waiting(1)}})
+			is.Equal(len(out.take("edge").Grants), 0)
+			test.lose(a)
+			a.decide(3)
+			a.send()
+			is.Equal(len(out.take("edge").Grants), 1)
+		})
+	}
+}
+
+// Guards against a new leader that gives out places before it knows the runs of the instances, and
+// against a follower that gives out places of other data centres.
+func TestRoleLimitsGrants(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(4)
+	a.core.SetEngines([]placement.Engine{{ID: "far", Service: "s", Address: "10.0.0.2:1", DataCentre: "b", Places: 4}})
+	a.core.SetScope("a")
+	edge := sender("edge", 1)
+	patient := waiting(1)
+	patient.StartByMS = 8000
+	a.play(1, edge, fleet.Update{Sequence: 1, Whole: true, Arrivals: []fleet.Arrival{patient}})
+	is.Equal(len(out.take("edge").Grants), 0)
+	a.setRole(2, role{leads: true, entries: 1})
+	a.decide(3)
+	a.send()
+	is.Equal(len(out.take("edge").Grants), 0) // the others have not reported yet
+	a.decide(3 + settleTime)
+	a.send()
+	is.Equal(len(out.take("edge").Grants), 1)
+}
+
+// Guards against quotas that are spent twice while some instances are under another allocator.
+func TestShareFollowsTheOwners(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(100)
+	a.core.SetQuotas(0, []placement.Limit{{Workspace: "w", Rate: 1, Burst: 100}})
+	a.setRole(0, role{leads: true, entries: 4})
+	a.settleUntil = 0
+	arrivals := []fleet.Arrival{}
+	for id := range uint64(100) {
+		arrival := waiting(id + 1)
+		arrival.Workspace, arrival.Charge = "w", 1
+		arrivals = append(arrivals, arrival)
+	}
+	a.play(1, sender("edge", 1), fleet.Update{Sequence: 1, Whole: true, Arrivals: arrivals})
+	answer := out.take("edge")
+	is.Equal(len(answer.Grants), 25) // one of four instances is heard
+	is.Equal(len(answer.Rejections), 75)
+	is.Equal(answer.Rejections[0].Reason, placement.ReasonQuota)
+}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -79,6 +79,9 @@
 	}
 	for _, q := range c.quotas {
 		c.refill(now, q)
+		// A larger share comes with its part of the bucket, or a new leader would refuse everything at
+		// first. Its predecessor may have spent that part; one burst more stays within the users' bound.
+		q.level += max(share-c.share, 0) * q.capacity()
 		q.level = min(q.level, q.capacity()*share)
 	}
 	c.share = share
