--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,167 @@
+// Package soak runs the real programs as separate processes on loopback addresses, harms them and what
+// lies between them, and checks the promises from what callers, engines and operators see.
+//
+//	go test ./soak -run TestSoak -seed 7 -for 60s
+//
+// Not covered: clocks that are set (it needs rights that tests don't have) and failing disks, which
+// the tests of the journal cover in process.
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/platform/standin"
+)
+
+var (
+	seed     = flag.Uint64("seed", 1, "seed of the faults and of the load")
+	duration = flag.Duration("for", 8*time.Second, "how long faults are injected")
+	seeds    = flag.Int("seeds", 1, "number of seeds, from -seed on")
+	keep     = flag.String("keep", "", "folder for the logs of runs that fail")
+)
+
+// regressions are the seeds that failed once, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+const (
+	startLimit    = 20 * time.Second
+	recoveryLimit = 15 * time.Second // from the last fault to service
+	catchUp       = 6 * time.Second  // after a lost disk, before the next one may be lost
+	clients       = 12
+)
+
+// Guards against broken promises under kills, pauses, restarts, lost disks, and connections that are
+// delayed, reset, silenced or cut one way, in any order and at once.
+func TestSoak(t *testing.T) {
+	for i := range *seeds {
+		run(t, *seed+uint64(i), *duration)
+	}
+}
+
+// Guards against the return of faults that seeds have found.
+func TestRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Log(r.cause)
+		run(t, r.seed, *duration)
+	}
+}
+
+func run(t *testing.T, seed uint64, duration time.Duration) {
+	t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+		folder := t.TempDir()
+		s := newSystem(t, folder)
+		defer s.close()
+		defer keepLogs(t, folder, seed)
+		for _, p := range s.processes {
+			s.start(p, true)
+		}
+		o := newObserver(t, s, seed)
+		o.await("service", startLimit, o.served)
+		o.startLoad(clients)
+		inject(s, o, rand.New(rand.NewPCG(seed, 1)), duration)
+		healed := time.Now()
+		o.await("service after the faults", recoveryLimit, o.served)
+		t.Logf("seed %d: served %v after the last fault; %s", seed, time.Since(healed).Round(time.Millisecond), o.summary())
+		o.finish()
+		if text := s.crashes(); text != "" {
+			t.Error("a process ended by itself: ", text)
+		}
+	})
+}
+
+// keepLogs copies the folder of a run that failed.
+func keepLogs(t *testing.T, folder string, seed uint64) {
+	if !t.Failed() || *keep == "" {
+		return
+	}
+	target := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+	if err := os.CopyFS(target, os.DirFS(folder)); err != nil {
+		t.Log("logs not kept: ", err)
+	}
+}
+
+// inject harms the system in series that overlap, then heals everything.
+func inject(s *system, o *observer, random *rand.Rand, duration time.Duration) {
+	end := time.Now().Add(duration)
+	var diskFree time.Time
+	for time.Now().Before(end) {
+		lasting := time.Duration(300+random.IntN(2500)) * time.Millisecond
+		switch random.IntN(10) {
+		case 0, 1: // kill
+			p := s.processes[random.IntN(len(s.processes))]
+			p.stop(syscall.SIGKILL)
+			s.later(lasting/3, func() { s.start(p, false) })
+		case 2: // planned stop
+			p := s.entries()[random.IntN(entryInstances)]
+			o.inBackground(func() {
+				p.stop(syscall.SIGTERM)
+				s.start(p, false)
+			})
+			lasting = time.Second
+		case 3: // freeze
+			p := s.processes[random.IntN(len(s.processes))]
+			p.signal(syscall.SIGSTOP)
+			s.later(lasting, func() { p.signal(syscall.SIGCONT) })
+		case 4: // lost disk
+			if time.Now().Before(diskFree) {
+				continue
+			}
+			p := s.control()[random.IntN(controlInstances)]
+			p.stop(syscall.SIGKILL)
+			s.check(p.loseDisk())
+			s.start(p, false)
+			diskFree = time.Now().Add(catchUp)
+		case 5, 6: // links between processes
+			t := trouble(1 + random.IntN(4))
+			for _, link := range s.links {
+				if random.IntN(5) == 0 {
+					link.set(t)
+					s.later(lasting, func() { link.set(troubleNone) })
+				}
+			}
+		case 7: // connections to an engine
+			wire := s.wires[random.IntN(len(s.wires))]
+			wire.set(trouble(1 + random.IntN(4)))
+			s.later(lasting, func() { wire.set(troubleNone) })
+		case 8: // faulty engine
+			e := s.engines[random.IntN(len(s.engines))]
+			e.SetFault(standin.Fault(1 + random.IntN(7)))
+			s.later(lasting, func() { e.SetFault(standin.FaultNone) })
+		case 9: // configuration
+			o.changeConfiguration(random.IntN(3) == 0)
+		}
+		time.Sleep(time.Duration(100+random.IntN(600)) * time.Millisecond)
+	}
+	s.heal()
+	o.background.Wait()
+	for _, p := range s.processes {
+		p.mu.Lock()
+		running := p.wanted
+		p.mu.Unlock()
+		if !running {
+			s.start(p, false)
+		}
+	}
+}
+
+// later carries out the end of a fault. Ends that are still to come are carried out by heal.
+func (s *system) later(after time.Duration, end func()) {
+	s.pending.Add(1)
+	time.AfterFunc(after, func() {
+		defer s.pending.Done()
+		end()
+	})
+}
+
+// heal waits for the ends of all faults.
+func (s *system) heal() { s.pending.Wait() }
--- /dev/null
+++ b/soak/system_test.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/platform"
+	"github.com/primrosebeam/primrosebeam/platform/standin"
+)
+
+const (
+	controlInstances = 3
+	entryInstances   = 3
+	modelEngines     = 4
+	plainEngines     = 2
+	streamEvents     = 12
+	eventTime        = 15 * time.Millisecond
+	firstLinkPort    = 7700 // each process has its own, so that the proxies can tell who connects
+	portStep         = 4
+)
+
+var dataCentres = []string{"a", "b", "c"}
+
+// process is one process of the system under test.
+type process struct {
+	name     string
+	role     string
+	settings *platform.Settings
+	folder   string
+	log      *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	wanted  bool // it should run
+	paused  bool
+	endings int // exits that nobody asked for
+}
+
+// system is the whole deployment: processes, engines, list and the proxies between them.
+type system struct {
+	t         *testing.T
+	folder    string
+	binary    string
+	processes []*process
+	engines   []*standin.Engine
+	listed    []placement.Engine // with the addresses of the proxies
+	directory *standin.Directory
+	links     []*proxy // between processes
+	wires     []*proxy // between entry instances and engines
+	keyFile   string
+	pending   sync.WaitGroup // ends of faults
+}
+
+func newSystem(t *testing.T, folder string) *system {
+	s := &system{t: t, folder: folder, binary: filepath.Join(folder, "primrosebeam"), keyFile: filepath.Join(folder, "shared.key")}
+	build := exec.Command("go", "build", "-o", s.binary, "../cmd/primrosebeam")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	s.check(os.WriteFile(s.keyFile, []byte("key of the soak, long enough for a secret"), 0o600))
+	network := standin.NewNetwork()
+	directory, err := standin.StartDirectory(network.Address(200) + ":8225")
+	s.check(err)
+	s.directory = directory
+	for i := range controlInstances + entryInstances {
+		s.addProcess(network, i)
+	}
+	s.connect()
+	for i := range modelEngines + plainEngines {
+		s.addEngine(network, i)
+	}
+	s.directory.Set(s.listed)
+	return s
+}
+
+func (s *system) check(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) addProcess(network standin.Network, i int) {
+	p := &process{role: "core", folder: filepath.Join(s.folder, fmt.Sprint("data-", i))}
+	data := p.folder
+	if i >= controlInstances {
+		p.role, data = "edge", ""
+	}
+	p.settings = network.Machine(i+1, controlInstances, dataCentres[i%len(dataCentres)], s.directory.Address, data)
+	p.settings.Links = net.JoinHostPort(p.settings.Address.String(), strconv.Itoa(firstLinkPort+portStep*i))
+	p.settings.Metrics = ""
+	p.name = fmt.Sprintf("%s-%d", p.role, i)
+	log, err := os.Create(filepath.Join(s.folder, p.name+".log"))
+	s.check(err)
+	p.log = log
+	s.processes = append(s.processes, p)
+}
+
+// connect puts a proxy on the way of each process to each other one. A process dials others at the port
+// of its own listener, so the proxy for it listens there at the other's address.
+func (s *system) connect() {
+	for _, from := range s.processes {
+		_, port, err := net.SplitHostPort(from.settings.Links)
+		s.check(err)
+		for _, to := range s.processes {
+			if to == from {
+				continue
+			}
+			p, err := startProxy(net.JoinHostPort(to.settings.Address.String(), port), to.settings.Links)
+			s.check(err)
+			s.links = append(s.links, p)
+		}
+	}
+}
+
+func (s *system) addEngine(network standin.Network, i int) {
+	service, events, work := standin.ModelService, streamEvents, eventTime
+	if i >= modelEngines {
+		service, events = standin.PlainService, 0
+	}
+	address := network.Address(100 + i)
+	engine, err := standin.StartEngine(placement.Engine{
+		ID: fmt.Sprint("engine-", i), Service: service, Address: address + ":9000",
+		DataCentre: dataCentres[i%len(dataCentres)], Places: 4,
+	}, events, work)
+	s.check(err)
+	wire, err := startProxy(address+":8080", engine.Address)
+	s.check(err)
+	s.engines = append(s.engines, engine)
+	s.wires = append(s.wires, wire)
+	listed := engine.Engine
+	listed.Address = address + ":8080"
+	s.listed = append(s.listed, listed)
+}
+
+// start starts a process and keeps it running until stop.
+func (s *system) start(p *process, firstStart bool) {
+	p.settings.FirstStart = firstStart
+	path := filepath.Join(s.folder, p.name+".json")
+	s.check(standin.WriteSettings(path, p.settings))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(s.binary, p.role, "-shared-key", s.keyFile, "-settings", path)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	s.check(p.command.Start())
+	p.wanted, p.paused = true, false
+	p.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		command.Wait()
+		p.mu.Lock()
+		if p.wanted && p.command == command {
+			p.endings++
+		}
+		p.mu.Unlock()
+		close(exited)
+	}(p.command, p.exited)
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		p.command.Process.Signal(sig)
+	}
+}
+
+// stop ends a process with a signal and waits for its end.
+func (p *process) stop(sig syscall.Signal) {
+	p.mu.Lock()
+	p.wanted = false
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(sig)
+	select {
+	case <-exited:
+	case <-time.After(15 * time.Second):
+		p.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+func (p *process) loseDisk() error { return os.RemoveAll(p.folder) }
+
+func (s *system) close() {
+	for _, p := range s.processes {
+		p.stop(syscall.SIGKILL)
+		p.log.Close()
+	}
+	for _, e := range s.engines {
+		e.Close()
+	}
+	for _, p := range append(append([]*proxy{}, s.links...), s.wires...) {
+		p.close()
+	}
+	s.directory.Close()
+}
+
+func (s *system) entries() []*process { return s.processes[controlInstances:] }
+
+func (s *system) control() []*process { return s.processes[:controlInstances] }
+
+// crashes returns what the logs say of processes that ended by themselves.
+func (s *system) crashes() string {
+	text := ""
+	for _, p := range s.processes {
+		data, err := os.ReadFile(filepath.Join(s.folder, p.name+".log"))
+		s.check(err)
+		if at := bytes.Index(data, []byte("panic:")); at >= 0 {
+			text += p.name + ": " + string(data[at:min(at+2000, len(data))]) + "\n"
+		}
+	}
+	return text
+}
