--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -322,13 +322,14 @@
 	grants, rejections := a.core.Decide(now)
 	for _, g := range grants {
 		if o := a.owners[g.Owner]; o != nil {
-			o.reply().Grants = append(o.reply().Grants, fleet.Grant{ID: numberOf(g.Owner, g.Request), Engine: g.Engine})
+			o.reply().Grants = append(o.reply().Grants, fleet.Grant{ID: numberOf(g.Owner, g.Request), Engine: g.Engine, Runs: g.Runs})
 		}
 	}
 	for _, r := range rejections {
 		if o := a.owners[r.Owner]; o != nil {
 			o.reply().Rejections = append(o.reply().Rejections, fleet.Rejection{
 				ID: numberOf(r.Owner, r.Request), Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds(),
+				Waiting: r.Waiting, WaitMS: r.Wait.Milliseconds(), Capacity: r.Capacity,
 			})
 		}
 	}
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -125,3 +125,26 @@
 	logger.Info().Msg("stopped")
 	return ExitDone
 }
+
+func init() {
+	subcommands["check-platform"] = subcommand{"validates settings or a configuration of the platform", runCheckPlatform}
+}
+
+func runCheckPlatform(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("check-platform", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	settings := flags.String("settings", "", "settings `file` of a process")
+	document := flags.String("configuration", "", "configuration `file` of an operator")
+	if err := flags.Parse(args); err != nil || flags.NArg() > 0 || *settings == "" && *document == "" {
+		flags.Usage()
+		return ExitUsage
+	}
+	code := ExitDone
+	if *settings != "" {
+		code = checkFile(*settings, func(data []byte) error { _, err := platform.DecodeSettings(data); return err }, stdout, stderr)
+	}
+	if *document != "" {
+		code = max(code, checkFile(*document, func(data []byte) error { _, err := platform.DecodeDocument(data); return err }, stdout, stderr))
+	}
+	return code
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -30,18 +30,18 @@
 	objective time.Duration
 	deadline  time.Duration // the caller's and the route's, whichever is earlier
 
-	lease     time.Duration // that was left when the key was checked
-	sends     int           // engines that the request may have reached or that refused it
-	excluded  []string
-	engine    string
-	allocator string
-	queued    time.Duration
-	first     time.Duration // to the first event or the whole answer
-	events    int           // passed on to the caller
-	last      int           // number of the last of them, 0 while there is none
-	resumed   int
-	header    bool // an answer has begun
-	status    int  // of the answer that has begun
+	lease    time.Duration // that was left when the key was checked
+	sends    int           // engines that the request may have reached or that refused it
+	excluded []string
+	engine   string
+	decision placed // the newest one about a place
+	queued   time.Duration
+	first    time.Duration // to the first event or the whole answer
+	events   int           // passed on to the caller
+	last     int           // number of the last of them, 0 while there is none
+	resumed  int
+	header   bool // an answer has begun
+	status   int  // of the answer that has begun
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -60,10 +60,12 @@
 	}
 	grants, rejections := p.local.Decide(now)
 	for _, g := range grants {
-		p.grant(now, localNumber(g.Request), g.Engine, "")
+		p.grant(now, localNumber(g.Request), placed{engine: g.Engine, runs: g.Runs})
 	}
 	for _, r := range rejections {
-		p.reject(localNumber(r.Request), placed{reason: r.Reason, retryAfter: r.RetryAfter})
+		p.reject(localNumber(r.Request), placed{
+			reason: r.Reason, retryAfter: r.RetryAfter, waiting: r.Waiting, wait: r.Wait, capacity: r.Capacity,
+		})
 	}
 	exhausted := p.local.Exhausted(now)
 	p.exhausted.Store(&exhausted)
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -45,6 +45,10 @@
 	reason     placement.Reason // set when it was rejected
 	retryAfter time.Duration
 	by         string // allocator, empty for this instance itself
+	runs       int    // of the engine
+	waiting    int    // requests that waited when this one was rejected
+	wait       time.Duration
+	capacity   float64
 }
 
 type placerEvent struct {
@@ -296,14 +300,17 @@
 	}
 	p.exhausted.Store(&a.Exhausted)
 	for i := range a.Grants {
-		p.grant(now, a.Grants[i].ID, a.Grants[i].Engine, from)
+		p.grant(now, a.Grants[i].ID, placed{engine: a.Grants[i].Engine, runs: a.Grants[i].Runs, by: from})
 	}
 	for _, r := range a.Rejections {
-		p.reject(r.ID, placed{reason: r.Reason, retryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, by: from})
+		p.reject(r.ID, placed{
+			reason: r.Reason, retryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, by: from,
+			waiting: r.Waiting, wait: time.Duration(r.WaitMS) * time.Millisecond, capacity: r.Capacity,
+		})
 	}
 }
 
-func (p *placer) grant(now time.Duration, id uint64, engine placement.Engine, by string) {
+func (p *placer) grant(now time.Duration, id uint64, decision placed) {
 	t := p.tickets[id]
 	if t == nil {
 		p.next().Ends = append(p.next().Ends, fleet.End{ID: id, Outcome: placement.OutcomeUnused})
@@ -312,11 +319,11 @@
 	if t.engine != "" {
 		return // a repeated grant
 	}
-	t.engine = engine.ID
-	if by != "" {
-		p.local.Resume(now, localRequest(t), engine.ID, false)
+	t.engine = decision.engine.ID
+	if decision.by != "" {
+		p.local.Resume(now, localRequest(t), t.engine, false)
 	}
-	t.placed <- placed{engine: engine, by: by}
+	t.placed <- decision
 }
 
 func (p *placer) reject(id uint64, decision placed) {
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -77,7 +77,12 @@
 		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.resumed).Int("events", x.events).Dur("first", x.first)
 	}
 	if x.hasTokens {
-		event.Int("prompt", x.tokens.Prompt).Int("output", x.tokens.OutputMax).Int("expected", x.expectedOutput()).Str("allocator", x.allocator)
+		event.Int("prompt", x.tokens.Prompt).Int("output", x.tokens.OutputMax).Int("expected", x.expectedOutput()).
+			Str("allocator", x.decision.by).Int("runs", x.decision.runs)
+	}
+	if x.decision.reason != "" {
+		event.Int("waiting", x.decision.waiting).Dur("wait", x.decision.wait).Float64("capacity", x.decision.capacity).
+			Dur("retryAfter", x.decision.retryAfter)
 	}
 	now := clock()
 	event.Dur("queued", x.queued).Dur("took", now-x.arrived).Dur("left", x.deadline-now).Msg("request")
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -115,7 +115,7 @@
 	select {
 	case p := <-t.placed:
 		x.queued += clock() - began
-		x.allocator = p.by
+		x.decision = p
 		if p.reason != "" {
 			x.giveUp(last, reason(p.reason), p.retryAfter)
 			return place{}, false
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -27,15 +27,15 @@
 
 // Attached answers Attach.
 type Attached struct {
-	Number         uint64             `cbor:"1,keyasint,omitempty"` // of Content
-	Content        []byte             `cbor:"2,keyasint,omitempty"` // configuration, when the sender has an older one
-	Confirmed      uint64             `cbor:"3,keyasint,omitempty"` // newest number that a quorum confirmed after the call
-	IsConfirmed    bool               `cbor:"4,keyasint,omitempty"`
-	Leader         string             `cbor:"5,keyasint,omitempty"`
-	Control        []string           `cbor:"6,keyasint,omitempty"` // all control instances
-	DataCentre     string             `cbor:"7,keyasint,omitempty"` // of the answering instance
-	List           List               `cbor:"8,keyasint,omitempty"`
-	Entries        int                `cbor:"9,keyasint,omitempty"` // entry instances that are known
+	Number      uint64   `cbor:"1,keyasint,omitempty"` // of Content
+	Content     []byte   `cbor:"2,keyasint,omitempty"` // configuration, when the sender has an older one
+	Confirmed   uint64   `cbor:"3,keyasint,omitempty"` // newest number that a quorum confirmed after the call
+	IsConfirmed bool     `cbor:"4,keyasint,omitempty"`
+	Leader      string   `cbor:"5,keyasint,omitempty"`
+	Control     []string `cbor:"6,keyasint,omitempty"` // all control instances
+	DataCentre  string   `cbor:"7,keyasint,omitempty"` // of the answering instance
+	List        List     `cbor:"8,keyasint,omitempty"`
+	Entries     int      `cbor:"9,keyasint,omitempty"` // entry instances that are known
 }
 
 // Confirm asks the leader for the newest number, confirmed by a quorum after the call.
@@ -141,6 +141,7 @@
 type Grant struct {
 	ID     uint64           `cbor:"1,keyasint"`
 	Engine placement.Engine `cbor:"2,keyasint"`
+	Runs   int              `cbor:"3,keyasint,omitempty"` // of the engine, this one included
 }
 
 // Rejection gives up on a request that was not sent.
@@ -148,4 +149,7 @@
 	ID           uint64           `cbor:"1,keyasint"`
 	Reason       placement.Reason `cbor:"2,keyasint"`
 	RetryAfterMS int64            `cbor:"3,keyasint,omitempty"`
+	Waiting      int              `cbor:"4,keyasint,omitempty"` // requests of the service that waited
+	WaitMS       int64            `cbor:"5,keyasint,omitempty"` // that was expected for this one
+	Capacity     float64          `cbor:"6,keyasint,omitempty"` // of the service, in engines of usual speed
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -22,6 +22,9 @@
 	closeTimeout = 500 * time.Millisecond
 )
 
+// timeFormat has milliseconds, so that the lines of several processes can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Writer is a zerolog.LevelWriter that never blocks.
 type Writer struct {
 	out     io.Writer
@@ -46,6 +49,7 @@
 
 // New returns a logger on a new writer.
 func New(out io.Writer, set *metrics.Set, level zerolog.Level) (zerolog.Logger, *Writer) {
+	zerolog.TimeFieldFormat = timeFormat
 	w := NewWriter(out, set)
 	return zerolog.New(w).Level(level).With().Timestamp().Logger(), w
 }
--- a/placement/core.go
+++ b/placement/core.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if wait, ok := c.spend(now, r.Workspace, r.Charge); !ok {
-		c.reject(&entry{Request: r}, ReasonQuota, wait)
+		c.reject(now, &entry{Request: r}, ReasonQuota, wait, 0)
 		return
 	}
 	e := &entry{Request: r}
@@ -128,7 +128,7 @@
 	if now+wait+c.pace.least(e) > min(e.StartBy, e.Deadline) {
 		delete(c.requests, r.ID)
 		c.refund(r.Workspace, r.Charge)
-		c.reject(e, ReasonOverload, retryTime(wait))
+		c.reject(now, e, ReasonOverload, retryTime(wait), wait)
 		return
 	}
 	s.waiting = append(s.waiting, e)
@@ -265,8 +265,12 @@
 	}
 }
 
-func (c *Core) reject(e *entry, reason Reason, retryAfter time.Duration) {
-	c.rejections = append(c.rejections, Rejection{Request: e.ID, Owner: e.Owner, Reason: reason, RetryAfter: retryAfter})
+func (c *Core) reject(now time.Duration, e *entry, reason Reason, retryAfter, wait time.Duration) {
+	s := c.service(e.Service)
+	c.rejections = append(c.rejections, Rejection{
+		Request: e.ID, Owner: e.Owner, Reason: reason, RetryAfter: retryAfter,
+		Waiting: len(s.waiting), Wait: wait, Capacity: c.capacity(now, s),
+	})
 }
 
 // Decide gives out free places and gives up on requests that can't be served any more. The slices
@@ -299,7 +303,7 @@
 	c.removeWaiting(e)
 	e.granted = now
 	at.add(e)
-	c.grants = append(c.grants, Grant{Request: e.ID, Owner: e.Owner, Engine: at.Engine})
+	c.grants = append(c.grants, Grant{Request: e.ID, Owner: e.Owner, Engine: at.Engine, Runs: len(at.runs)})
 	return true
 }
 
@@ -324,7 +328,8 @@
 		}
 		delete(c.requests, e.ID)
 		c.refund(e.Workspace, e.Charge)
-		c.reject(e, ReasonDeadline, retryTime(c.expectedWait(now, s, e)))
+		wait := c.expectedWait(now, s, e)
+		c.reject(now, e, ReasonDeadline, retryTime(wait), wait)
 	}
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -56,6 +56,7 @@
 	Request RequestID
 	Owner   string
 	Engine  Engine
+	Runs    int // of the engine, this one included
 }
 
 // Reason tells why a request is rejected.
@@ -75,6 +76,9 @@
 	Owner      string
 	Reason     Reason
 	RetryAfter time.Duration
+	Waiting    int           // requests of the service that waited
+	Wait       time.Duration // that was expected for this one
+	Capacity   float64       // of the service, in engines of usual speed
 }
 
 // Outcome tells how the run of a request ended.
