--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/platform/standin"
@@ -191,6 +194,40 @@
 	}
 }
 
+// replicaState is the part of a control instance's dump that is looked at.
+type replicaState struct {
+	Replica struct {
+		Node struct {
+			Self, Leader  consensus.ID
+			Configuration consensus.Configuration
+		}
+	} `json:"replica"`
+}
+
+// votes reports whether a control instance is a voter of a log with a leader.
+func (p *process) votes() bool {
+	host, port, err := net.SplitHostPort(p.settings.Links)
+	if err != nil {
+		return false
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return false
+	}
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/dump", host, number+1))
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	var state replicaState
+	if json.NewDecoder(response.Body).Decode(&state) != nil {
+		return false
+	}
+	node := state.Replica.Node
+	return !node.Leader.IsZero() && node.Configuration.IsVoter(node.Self)
+}
+
 func (p *process) loseDisk() error { return os.RemoveAll(p.folder) }
 
 func (s *system) close() {
