--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -40,8 +40,9 @@
 	events   int           // passed on to the caller
 	last     int           // number of the last of them, 0 while there is none
 	resumed  int
-	header   bool // an answer has begun
-	status   int  // of the answer that has begun
+	header   bool   // an answer has begun
+	status   int    // of the answer that has begun
+	cause    string // why the newest send failed
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -76,6 +76,9 @@
 	if x.engine != "" {
 		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.resumed).Int("events", x.events).Dur("first", x.first)
 	}
+	if x.cause != "" && why != reasonAnswered {
+		event.Str("cause", x.cause)
+	}
 	if x.hasTokens {
 		event.Int("prompt", x.tokens.Prompt).Int("output", x.tokens.OutputMax).Int("expected", x.expectedOutput()).
 			Str("allocator", x.decision.by).Int("runs", x.decision.runs)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -46,6 +46,7 @@
 	defer watch.stop()
 	response, err := x.edge.transport.RoundTrip(request)
 	if err != nil {
+		x.cause = causeOf(err, watch)
 		return x.classify(written.Load(), watch)
 	}
 	defer response.Body.Close()
@@ -142,6 +143,7 @@
 			x.sends++
 			return x.foreign(engine, "answer to another request"), true
 		}
+		x.cause = refusal
 		return verdictRefused, true
 	}
 	x.sends++
@@ -155,13 +157,29 @@
 	case r.StatusCode >= 500 && x.route.Idempotent() && x.sends < x.route.Attempts && x.left() > resendMargin && !x.header:
 		// Another engine may answer better; this answer is given up only if the budget allows the send.
 		if x.edge.budget.available(clock(), x.service.Name) {
+			x.cause = "status " + strconv.Itoa(r.StatusCode)
 			return verdictFailed, true
 		}
 	}
 	return verdictDone, false
 }
 
+// refusal is the cause of a refusal by an engine.
+const refusal = "the engine did not run it"
+
+// causeOf names the cause of a failed send for the log.
+func causeOf(err error, watch *watchdog) string {
+	switch {
+	case watch.fired():
+		return "no sign of an answer in time"
+	case err == nil:
+		return "the answer is too long"
+	}
+	return err.Error()
+}
+
 func (x *exchange) foreign(engine placement.Engine, what string) verdict {
+	x.cause = what
 	x.edge.counters.foreign.Inc()
 	x.edge.options.Logger.Warn().Str("id", x.id).Str("engine", engine.ID).Str("what", what).Msg("answer discarded")
 	return verdictFailed
@@ -171,6 +189,7 @@
 func (x *exchange) relayWhole(r *http.Response, watch *watchdog) verdict {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
 	if err != nil || len(body) > maxAnswerBytes {
+		x.cause = causeOf(err, watch)
 		return x.classifyBody(watch)
 	}
 	if x.header {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -74,11 +74,13 @@
 			return verdictDone
 		}
 		if err != nil {
+			x.cause = causeOf(err, watch)
 			return x.classifyStream(watch)
 		}
 		id, numbered := eventID(event)
 		if numbered && x.last != 0 && id != x.last+1 {
 			x.edge.options.Logger.Warn().Str("id", x.id).Str("engine", p.engine.ID).Int("event", id).Int("expected", x.last+1).Msg("stream out of order")
+			x.cause = "the stream went on with another event"
 			return x.classifyStream(watch)
 		}
 		if !started {
