--- a/instance/run.go
+++ b/instance/run.go
@@ -2,100 +2,68 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"sync"
 	"time"
-)
-
-// group runs duties and collects the first failure.
-type group struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
-	failures chan error
-}
 
-func newGroup(parent context.Context) *group {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
-	return &group{ctx: ctx, cancel: cancel, failures: make(chan error, 1)}
-}
-
-func (g *group) start(name string, run func(context.Context) error) {
-	g.running.Go(func() {
-		err := run(g.ctx)
-		if err == nil || errors.Is(err, context.Canceled) {
-			return
-		}
-		select {
-		case g.failures <- fmt.Errorf("instance: %s: %w", name, err):
-		default: // One failure is enough to stop.
-		}
-	})
-}
-
-func (g *group) stop() {
-	g.cancel()
-	g.running.Wait()
-}
+	"github.com/primrosebeam/primrosebeam/internal/duty"
+)
 
 // Run serves until ctx ends, then stops gracefully: no request in progress is cut. When force ends
 // first, whatever is left is cut and logged. It returns nil after a graceful stop.
 func (i *Instance) Run(ctx, force context.Context) error {
-	duties := newGroup(ctx)
-	links := newGroup(ctx) // end last: leave notices and outcomes still have to go out
-	exchanges := newGroup(ctx)
+	duties := duty.NewGroup(ctx, "instance")
+	links := duty.NewGroup(ctx, "instance") // end last: leave notices and outcomes still have to go out
+	exchanges := duty.NewGroup(ctx, "instance")
 	i.startCluster(links, exchanges, duties)
-	duties.start("dispatch", i.dispatch.Run)
-	duties.start("poll", i.poll.Run)
-	duties.start("callers", i.callers.serve)
-	duties.start("operators", i.operators.serve)
+	duties.Start("dispatch", i.dispatch.Run)
+	duties.Start("poll", i.poll.Run)
+	duties.Start("callers", i.callers.serve)
+	duties.Start("operators", i.operators.serve)
 	err := i.startConfiguration(duties)
 	if err == nil {
 		i.options.Logger.Info().Str("callers", i.CallerAddress()).Str("operators", i.OperatorAddress()).Msg("instance started")
 		select {
 		case <-ctx.Done():
 			err = i.stop(force)
-		case err = <-duties.failures:
-		case err = <-links.failures:
-		case err = <-exchanges.failures:
+		case err = <-duties.Failures():
+		case err = <-links.Failures():
+		case err = <-exchanges.Failures():
 		}
 	}
 	i.callers.http.Close()
 	i.operators.http.Close()
-	duties.stop()
-	exchanges.stop()
-	links.stop()
+	duties.Stop()
+	exchanges.Stop()
+	links.Stop()
 	i.upstream.Close()
 	return err
 }
 
-func (i *Instance) startCluster(links, exchanges, duties *group) {
+func (i *Instance) startCluster(links, exchanges, duties *duty.Group) {
 	if i.link == nil {
 		return
 	}
-	links.start("link", i.link.Run)
-	exchanges.start("exchange", i.exchange.Run)
-	duties.start("summaries", i.publishSummaries)
+	links.Start("link", i.link.Run)
+	exchanges.Start("exchange", i.exchange.Run)
+	duties.Start("summaries", i.publishSummaries)
 	if i.owner != nil {
-		duties.start("ledger", i.owner.Run)
+		duties.Start("ledger", i.owner.Run)
 	}
 	if i.replica != nil {
-		duties.start("replica", i.replica.Run)
+		duties.Start("replica", i.replica.Run)
 	}
 	if i.control != nil {
-		duties.start("control", i.control.Run)
+		duties.Start("control", i.control.Run)
 	}
 }
 
-func (i *Instance) startConfiguration(duties *group) error {
+func (i *Instance) startConfiguration(duties *duty.Group) error {
 	switch {
 	case i.options.Configuration == nil:
 		return nil
 	case i.control == nil:
 		return i.configure(initialVersion, i.options.Configuration)
 	case i.replica != nil:
-		duties.start("initial configuration", i.proposeInitial)
+		duties.Start("initial configuration", i.proposeInitial)
 	}
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +16,7 @@
 	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/allocator"
 	"github.com/primrosebeam/primrosebeam/internal/directory"
+	"github.com/primrosebeam/primrosebeam/internal/duty"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/monitor"
@@ -188,30 +187,23 @@
 		"directory": func() any { return c.directory.State() },
 		"hub":       func() any { return c.hub.state() },
 	})
-	duties := &sync.WaitGroup{}
-	ctx, cancel := context.WithCancelCause(ctx)
-	start := func(name string, run func(context.Context) error) {
-		duties.Go(func() {
-			if err := run(ctx); err != nil && ctx.Err() == nil {
-				cancel(fmt.Errorf("core: %s: %w", name, err))
-			}
-		})
-	}
-	start("link", c.link.Run)
-	start("replica", c.replica.Run)
-	start("allocator", c.allocator.Run)
-	start("directory", c.directory.Run)
-	start("role", c.watchRole)
-	start("configuration", c.watchConfiguration)
-	start("operators", monitor.Serve(operators))
-	start("metrics", monitor.Serve(observed))
+	duties := duty.NewGroup(ctx, "core")
+	duties.Start("link", c.link.Run)
+	duties.Start("replica", c.replica.Run)
+	duties.Start("allocator", c.allocator.Run)
+	duties.Start("directory", c.directory.Run)
+	duties.Start("role", c.watchRole)
+	duties.Start("configuration", c.watchConfiguration)
+	duties.Start("operators", monitor.Serve(operators))
+	duties.Start("metrics", monitor.Serve(observed))
 	c.options.Logger.Info().Str("operators", operators.Addr).Bool("firstStart", c.options.Settings.FirstStart).Msg("control instance started")
-	<-ctx.Done()
-	duties.Wait()
-	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
-		return cause
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-duties.Failures():
 	}
-	return nil
+	duties.Stop()
+	return err
 }
 
 // watchRole follows the leadership and tells the allocator and the entry instances.
--- /dev/null
+++ b/internal/duty/group.go
@@ -0,0 +1,48 @@
+// Package duty runs the duties of a process, one goroutine each, and collects the first failure.
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+)
+
+// Group runs duties under one context, which does not end with the context that it was made from: a
+// process that stops decides itself when its duties end.
+type Group struct {
+	name     string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	failures chan error
+}
+
+// NewGroup returns an empty group; name starts the text of its errors.
+func NewGroup(parent context.Context, name string) *Group {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	return &Group{name: name, ctx: ctx, cancel: cancel, failures: make(chan error, 1)}
+}
+
+// Start runs a duty until the group stops.
+func (g *Group) Start(name string, run func(context.Context) error) {
+	g.running.Go(func() {
+		err := run(g.ctx)
+		if err == nil || errors.Is(err, context.Canceled) {
+			return
+		}
+		select {
+		case g.failures <- fmt.Errorf("%s: %s: %w", g.name, name, err):
+		default: // One failure is enough to stop.
+		}
+	})
+}
+
+// Failures delivers the first failure.
+func (g *Group) Failures() <-chan error { return g.failures }
+
+// Stop ends the duties and waits for them.
+func (g *Group) Stop() {
+	g.cancel()
+	g.running.Wait()
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/internal/directory"
+	"github.com/primrosebeam/primrosebeam/internal/duty"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/monitor"
@@ -61,7 +62,6 @@
 	counters   *counters
 	configured chan struct{} // closed when the first configuration is in force
 	once       sync.Once
-	active     sync.WaitGroup
 	stopping   atomic.Bool
 	started    time.Duration
 	nextRead   atomic.Int64
@@ -151,52 +151,40 @@
 		"directory": func() any { return e.directory.State() },
 		"member":    e.memberState,
 	})
-	duties := &sync.WaitGroup{}
-	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	start := func(name string, run func(context.Context) error) {
-		duties.Go(func() {
-			if err := run(inner); err != nil && inner.Err() == nil {
-				cancel(fmt.Errorf("edge: %s: %w", name, err))
-			}
-		})
-	}
-	start("link", e.link.Run)
-	start("member", e.member.Run)
-	start("placer", e.placer.Run)
-	start("directory", e.directory.Run)
-	start("readiness", monitor.Serve(readiness))
-	start("metrics", monitor.Serve(observed))
+	duties := duty.NewGroup(ctx, "edge")
+	defer duties.Stop()
+	duties.Start("link", e.link.Run)
+	duties.Start("member", e.member.Run)
+	duties.Start("placer", e.placer.Run)
+	duties.Start("directory", e.directory.Run)
+	duties.Start("readiness", monitor.Serve(readiness))
+	duties.Start("metrics", monitor.Serve(observed))
 	listener, err := net.Listen("tcp", s.Callers)
 	if err != nil {
-		cancel(err)
-		duties.Wait()
-		return err
+		return fmt.Errorf("edge: callers: %w", err)
 	}
 	e.options.Logger.Info().Str("callers", s.Callers).Strs("seeds", s.SeedAddresses()).Msg("entry instance started")
-	var callers *http.Server
 	select {
 	case <-e.configured:
-		callers = e.newCallers(e.member.table.Load().Limits)
-		start("callers", func(context.Context) error {
-			if err := callers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
 	case <-ctx.Done():
-	case <-inner.Done():
+		return listener.Close()
+	case err := <-duties.Failures():
+		return errors.Join(err, listener.Close())
 	}
+	callers := e.newCallers(e.member.table.Load().Limits)
+	duties.Start("callers", func(context.Context) error {
+		if err := callers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
 	select {
 	case <-ctx.Done():
 		e.stop(callers)
-		cancel(context.Canceled)
-	case <-inner.Done():
-	}
-	duties.Wait()
-	if cause := context.Cause(inner); !errors.Is(cause, context.Canceled) {
-		return cause
+		return nil
+	case err := <-duties.Failures():
+		return errors.Join(err, callers.Close())
 	}
-	return nil
 }
 
 // newCallers returns the callers' server with the limits of the configuration.
@@ -216,9 +204,6 @@
 	began := clock()
 	e.stopping.Store(true)
 	e.options.Logger.Info().Msg("stop requested")
-	if callers == nil {
-		return
-	}
 	time.Sleep(noticeTime)
 	left := e.options.Settings.Bounds.StopWithin - stopMargin - (clock() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -47,8 +47,6 @@
 
 // ServeHTTP serves a caller's request.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.active.Add(1)
-	defer e.active.Done()
 	x := &exchange{edge: e, writer: w, request: r, id: r.Header.Get(platform.HeaderAttempt), arrived: clock()}
 	// A request with both a length and chunks, or of an old version with chunks, is read by its first
 	// reading only; what follows on its connection is not looked at.
--- a/internal/edge/member_test.go
+++ b/internal/edge/member_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
+	"github.com/primrosebeam/primrosebeam/platform/standin"
 	"github.com/primrosebeam/primrosebeam/routing"
 )
 
@@ -41,13 +40,7 @@
 	return nil
 }
 
-const documentText = `{"Version":%VERSION%,"RouteTable":[{"Name":"r","Hostname":"h.example","PathPrefix":"/p/","RouteType":"safe",
-"TimeoutMs":1000,"TargetLatencyMs":100,"Service":"s","MaxAttempts":2}],"Backends":[{"Name":"s"}],
-"Tenants":[{"Name":"w","ApiKeys":["key-1"],"Unit":"tokens","PlainTokens":10,"RatePerS":0}]}`
-
-func document(version int) []byte {
-	return []byte(strings.Replace(documentText, "%VERSION%", strconv.Itoa(version), 1))
-}
+func document(version int) []byte { return standin.Document(version, standin.WorkspaceKey) }
 
 func newTestMember(t *testing.T, stub *controlStub, seeds ...string) *member {
 	t.Helper()
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -167,18 +168,18 @@
 	return nil, nil
 }
 
-// must waits for room: an event of a ticket that got lost would keep its place for ever.
+// must waits for room: an event of a ticket that got lost would keep its place for ever. After the end
+// of the duty events go nowhere.
 func (p *placer) must(e placerEvent) {
-	for p.events.Offer(e) != nil {
-		if p.events.Cap() == 0 {
-			return
-		}
+	var full *ring.FullError
+	for errors.As(p.events.Offer(e), &full) {
 		time.Sleep(time.Millisecond)
 	}
 }
 
 // Run serves until ctx ends.
 func (p *placer) Run(ctx context.Context) error {
+	defer p.events.Close()
 	timer := time.NewTimer(heartbeat)
 	defer timer.Stop()
 	for {
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 // by the load that engines state in their answers.
 type Balancer struct {
 	mu      sync.Mutex
+	turn    int
 	centre  string
 	engines map[string][]*backend // by service
 	byID    map[string]*backend
@@ -69,6 +69,7 @@
 func (b *Balancer) Pick(now time.Duration, service string, excluded []string) (Engine, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.turn++
 	best := b.least(now, service, excluded, false)
 	if best == nil {
 		best = b.least(now, service, excluded, true)
@@ -84,7 +85,9 @@
 func (b *Balancer) least(now time.Duration, service string, excluded []string, resting bool) *backend {
 	var best *backend
 	var least float64
-	for _, e := range b.engines[service] {
+	engines := b.engines[service]
+	for i := range engines {
+		e := engines[(b.turn+i)%len(engines)] // Ties go to a different engine each time.
 		if e.Leaving || slices.Contains(excluded, e.ID) || !resting && now < e.restsUntil {
 			continue
 		}
@@ -92,7 +95,6 @@
 		if e.DataCentre != b.centre {
 			load += farPenalty
 		}
-		load += rand.Float64() / 1000 // breaks ties
 		if best == nil || load < least {
 			best, least = e, load
 		}
