--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -40,14 +40,13 @@
 	events   int           // passed on to the caller
 	last     int           // number of the last of them, 0 while there is none
 	resumed  int
-	header   bool // an answer has begun
-	status   int  // of the answer that has begun
+	header   bool   // an answer has begun
+	status   int    // of the answer that has begun
+	cause    string // why the newest send failed
 }
 
 // ServeHTTP serves a caller's request.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.active.Add(1)
-	defer e.active.Done()
 	x := &exchange{edge: e, writer: w, request: r, id: r.Header.Get(platform.HeaderAttempt), arrived: clock()}
 	// A request with both a length and chunks, or of an old version with chunks, is read by its first
 	// reading only; what follows on its connection is not looked at.
