Answer 'not run' only when no send of a request may have run

Cause: a request that one engine ran and lost, and another one refused, was answered 503 after the refusal, which promises that it has not run. Change: the answer looks at all sends, not at the last one; names.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -39,10 +39,10 @@
 	first    time.Duration // to the first event or the whole answer
 	events   int           // passed on to the caller
 	last     int           // number of the last of them, 0 while there is none
-	resumed  int
-	header   bool   // an answer has begun
-	status   int    // of the answer that has begun
-	cause    string // why the newest send failed
+	resends  int           // engines beyond the first one that the request was given to
+	header   bool          // an answer has begun
+	status   int           // of the answer that has begun
+	cause    string        // why the newest send failed
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -74,7 +74,7 @@
 		event.Str("workspace", x.workspace.Name).Dur("lease", x.lease)
 	}
 	if x.engine != "" {
-		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.resumed).Int("events", x.events).Dur("first", x.first)
+		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.resends).Int("events", x.events).Dur("first", x.first)
 	}
 	if x.cause != "" && why != reasonAnswered {
 		event.Str("cause", x.cause)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -37,20 +37,19 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.left())
 	defer cancel()
-	last := verdictUnreached
 	for {
-		place, ok := x.place(ctx, last)
+		place, ok := x.acquirePlace(ctx)
 		if !ok {
 			return
 		}
-		last = x.send(ctx, place)
+		last := x.send(ctx, place)
 		place.end(outcomeOf(last), x.outputTokens())
 		if !x.sendAgain(last) {
 			x.conclude(last)
 			return
 		}
 		x.excluded = append(x.excluded, place.engine.ID)
-		x.resumed++
+		x.resends++
 		x.edge.counters.resends.Inc()
 	}
 }
@@ -70,17 +69,18 @@
 }
 
 // sendAgain decides whether another engine gets the request. One that an engine may have run goes on
-// only if its route allows it; one that certainly did not run may go to a few more. Both draw on the
-// budget for repeated sends, which bounds what failing engines add to the load.
+// only if its route allows it; one that engines refused may go to a few more. Both draw on the budget
+// for repeated sends, which bounds what failing engines add to the load. A request that no engine
+// accepted a connection for is not repeated by another try.
 func (x *exchange) sendAgain(last verdict) bool {
 	if x.left() < resendMargin {
 		return false
 	}
 	switch last {
 	case verdictUnreached:
-		return x.resumed < unreachedLimit // Nothing arrived anywhere, so nothing is repeated.
+		return x.resends < unreachedLimit // Nothing arrived anywhere, so nothing is repeated.
 	case verdictRefused:
-		if x.resumed >= resendLimit+x.route.Attempts {
+		if x.resends >= resendLimit+x.route.Attempts {
 			return false
 		}
 	case verdictFailed, verdictBroken:
@@ -101,14 +101,14 @@
 	end    func(outcome placement.Outcome, tokens int)
 }
 
-// place waits for a place. When there is none the caller gets its final answer here.
-func (x *exchange) place(ctx context.Context, last verdict) (place, bool) {
+// acquirePlace waits for a place. When there is none the caller gets its final answer here.
+func (x *exchange) acquirePlace(ctx context.Context) (place, bool) {
 	if x.service.Model == nil {
-		return x.pick(last)
+		return x.pick()
 	}
 	t, err := x.edge.placer.Submit(x.placementRequest())
 	if err != nil {
-		x.giveUp(last, reasonFull, notReadyRetry)
+		x.giveUp(reasonFull, notReadyRetry)
 		return place{}, false
 	}
 	began := clock()
@@ -117,7 +117,7 @@
 		x.queued += clock() - began
 		x.decision = p
 		if p.reason != "" {
-			x.giveUp(last, reason(p.reason), p.retryAfter)
+			x.giveUp(reason(p.reason), p.retryAfter)
 			return place{}, false
 		}
 		return place{
@@ -131,14 +131,14 @@
 		if x.request.Context().Err() != nil {
 			x.abandoned()
 		} else {
-			x.giveUp(last, reason(placement.ReasonDeadline), quotaRetry)
+			x.giveUp(reason(placement.ReasonDeadline), quotaRetry)
 		}
 		return place{}, false
 	}
 }
 
 // pick takes an engine of a plain service.
-func (x *exchange) pick(last verdict) (place, bool) {
+func (x *exchange) pick() (place, bool) {
 	charge := 0.0
 	if x.workspace != nil && x.sends == 0 {
 		if x.edge.placer.IsExhausted(x.workspace.Name) {
@@ -149,7 +149,7 @@
 	}
 	engine, ok := x.edge.balancer.Pick(clock(), x.service.Name, x.excluded)
 	if !ok {
-		x.giveUp(last, reason(placement.ReasonNoEngine), notReadyRetry)
+		x.giveUp(reason(placement.ReasonNoEngine), notReadyRetry)
 		return place{}, false
 	}
 	if charge > 0 {
@@ -205,12 +205,12 @@
 }
 
 // giveUp gives the final answer of a request that gets no place. Only a request that no engine can
-// have run is told so.
-func (x *exchange) giveUp(last verdict, why reason, retryAfter time.Duration) {
+// have run, by any of its sends, is told so.
+func (x *exchange) giveUp(why reason, retryAfter time.Duration) {
 	switch {
 	case x.header:
 		x.abort(why)
-	case last == verdictFailed || last == verdictBroken:
+	case x.sends > 0:
 		x.answer(http.StatusBadGateway, why, 0)
 	case why == reason(placement.ReasonQuota):
 		x.refuse(http.StatusTooManyRequests, why, retryAfter)
@@ -229,7 +229,7 @@
 	case verdictBroken:
 		x.abort(reasonBroken)
 	case verdictUnreached, verdictRefused:
-		x.giveUp(last, reasonRefused, notReadyRetry)
+		x.giveUp(reasonRefused, notReadyRetry)
 	case verdictLate:
 		if x.header {
 			x.abort(reasonTimeout)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -53,7 +53,7 @@
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.State(clock(), p.engine.ID, load.Running+load.Waiting)
 	}
-	if v, foreign := x.check(response, p.engine); foreign {
+	if v, done := x.check(response, p.engine); done {
 		return v
 	}
 	if x.isStream() && response.StatusCode == http.StatusOK {
