Let the soak stop and start a process in one place at a time

Trace: edge-4 logged 'address already in use'; a kill and a planned stop of one process overlapped, so that the harness started it twice and lost track of one. Change: a process is claimed for a restart; a second start while it runs fails the run.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 	seed  uint64
 	cause string
 }{
+	{211, "the harness started a process twice when a kill overlapped with a planned stop of it"},
 	{5, "the harness lost a second disk 6 s after the first, whose replica had not rejoined under further faults"},
 }
 
@@ -100,13 +101,19 @@
 		switch random.IntN(10) {
 		case 0, 1: // kill
 			p := s.processes[random.IntN(len(s.processes))]
+			if !p.claim() {
+				continue
+			}
 			p.stop(syscall.SIGKILL)
-			s.later(lasting/3, func() { s.start(p, false) })
+			s.later(lasting/3, func() { s.restart(p) })
 		case 2: // planned stop
 			p := s.entries()[random.IntN(entryInstances)]
+			if !p.claim() {
+				continue
+			}
 			o.inBackground(func() {
 				p.stop(syscall.SIGTERM)
-				s.start(p, false)
+				s.restart(p)
 			})
 			lasting = time.Second
 		case 3: // freeze
@@ -118,9 +125,12 @@
 			if lost != nil && !lost.votes() {
 				continue // One disk may be lost at a time, and it counts as lost until its replica votes again.
 			}
+			if !p.claim() {
+				continue
+			}
 			p.stop(syscall.SIGKILL)
 			s.check(p.loseDisk())
-			s.start(p, false)
+			s.restart(p)
 			lost = p
 		case 5, 6: // links between processes
 			t := trouble(1 + random.IntN(4))
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -48,6 +48,7 @@
 	wanted  bool // it should run
 	paused  bool
 	endings int // exits that nobody asked for
+	claimed bool
 }
 
 // system is the whole deployment: processes, engines, list and the proxies between them.
@@ -154,6 +155,14 @@
 	s.check(standin.WriteSettings(path, p.settings))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.exited != nil {
+		select {
+		case <-p.exited:
+		default:
+			s.t.Errorf("%s is started while it runs", p.name)
+			return
+		}
+	}
 	p.command = exec.Command(s.binary, p.role, "-shared-key", s.keyFile, "-settings", path)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	s.check(p.command.Start())
@@ -170,6 +179,25 @@
 	}(p.command, p.exited)
 }
 
+// claim reserves a process for being stopped and started again; it reports whether nobody else has.
+func (p *process) claim() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.claimed {
+		return false
+	}
+	p.claimed = true
+	return true
+}
+
+// restart starts a claimed process again.
+func (s *system) restart(p *process) {
+	s.start(p, false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.claimed = false
+}
+
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
