--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -54,7 +54,7 @@
 		writeSummary(stdout, lines)
 		return ExitDone
 	}
-	if !writeStory(stdout, lines, *id) {
+	if !writeTimeline(stdout, lines, *id) {
 		fmt.Fprintf(stderr, "primrosebeam: no line of request %s; it may have been left out under load (primrosebeam_log_lines_dropped_total), or not have reached these instances\n", *id)
 		return ExitFailed
 	}
@@ -107,24 +107,24 @@
 	return fmt.Sprint(value)
 }
 
-// beliefs are messages that tell of lost and regained dependencies; those of the instance that served
-// a request are part of its story.
-var beliefs = []string{
+// stateChanges are messages about lost and regained dependencies; those of the instance that served
+// a request are part of its timeline.
+var stateChanges = []string{
 	"control instance lost", "control instance regained", "allocator changed", "list of engines lost", "list of engines regained",
 	"configuration in force", "stop requested", "entry instance started", "engine gone from the list",
 }
 
-// storyLines is how many lines of beliefs before a request are told.
-const storyLines = 8
+// contextLines is how many lines of state changes before a request are printed.
+const contextLines = 8
 
-func writeStory(w io.Writer, lines []logLine, id string) bool {
+func writeTimeline(w io.Writer, lines []logLine, id string) bool {
 	found := false
 	for i := range lines {
 		if lines[i].text("id") != id {
 			continue
 		}
 		if !found {
-			writeBeliefs(w, lines[:i], lines[i].text("instance"), lines[i].text("engine"))
+			writeContext(w, lines[:i], lines[i].text("instance"), lines[i].text("engine"))
 		}
 		found = true
 		writeLine(w, &lines[i])
@@ -132,12 +132,12 @@
 	return found
 }
 
-// writeBeliefs tells what the instance last learned before a request, and what is known of its engine.
-func writeBeliefs(w io.Writer, before []logLine, instance, engine string) {
+// writeContext tells what the instance last learned before a request, and what is known of its engine.
+func writeContext(w io.Writer, before []logLine, instance, engine string) {
 	var told []logLine
-	for i := len(before) - 1; i >= 0 && len(told) < storyLines; i-- {
+	for i := len(before) - 1; i >= 0 && len(told) < contextLines; i-- {
 		l := before[i]
-		ofInstance := l.text("instance") == instance && slices.Contains(beliefs, l.text("message"))
+		ofInstance := l.text("instance") == instance && slices.Contains(stateChanges, l.text("message"))
 		ofEngine := engine != "" && l.text("engine") == engine && l.text("message") != "request"
 		if ofInstance || ofEngine {
 			told = append(told, l)
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -18,7 +18,7 @@
 {"level":"info","instance":"edge-1","id":"ok","status":200,"reason":"answered","route":"r","time":"2026-01-01T00:00:04.000Z","message":"request"}
 `
 
-// Guards against a story that leaves out the request, what its instance last learned, or that mixes in
+// Guards against a timeline that leaves out the request, what its instance last learned, or that mixes in
 // other requests; and against a summary that counts answered requests.
 func TestExplain(t *testing.T) {
 	is := is.New(t)
@@ -26,11 +26,11 @@
 	is.NoErr(os.WriteFile(path, []byte(exampleLog), 0o600))
 	var stdout, stderr bytes.Buffer
 	is.Equal(runExplain([]string{"-id", "abc", path}, &stdout, &stderr), ExitDone)
-	story := strings.Split(strings.TrimSpace(stdout.String()), "\n")
-	is.Equal(len(story), 3)
-	is.True(strings.Contains(story[0], "configuration in force number=7"))
-	is.True(strings.Contains(story[1], "allocator changed from=10.0.0.1 to=10.0.0.2"))
-	is.True(strings.Contains(story[2], "reason=overload") && strings.Contains(story[2], "waiting=41"))
+	timeline := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+	is.Equal(len(timeline), 3)
+	is.True(strings.Contains(timeline[0], "configuration in force number=7"))
+	is.True(strings.Contains(timeline[1], "allocator changed from=10.0.0.1 to=10.0.0.2"))
+	is.True(strings.Contains(timeline[2], "reason=overload") && strings.Contains(timeline[2], "waiting=41"))
 
 	stdout.Reset()
 	is.Equal(runExplain([]string{"-summary", path}, &stdout, &stderr), ExitDone)
--- a/internal/core/hub.go
+++ b/internal/core/hub.go
@@ -27,7 +27,7 @@
 	mu       sync.Mutex
 	attached map[string]boottime.Time // entry instance to its last call here
 	known    map[string]boottime.Time // entry instance to when it was last heard anywhere
-	told     int                      // number of entry instances that the leader knows
+	reported int                      // number of entry instances that the leader knows
 }
 
 func newHub(c *Core) *hub {
@@ -78,7 +78,7 @@
 func (h *hub) learnEntries(count int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.told = count
+	h.reported = count
 }
 
 // attachedNames returns the entry instances that called here lately.
@@ -96,7 +96,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	maps.DeleteFunc(h.known, func(_ string, at boottime.Time) bool { return now.Sub(at) > knownFor })
-	return max(len(h.known), h.told)
+	return max(len(h.known), h.reported)
 }
 
 // notify asks the attached instances to call again at once. A notice that is lost costs the time until
--- a/placement/core.go
+++ b/placement/core.go
@@ -27,12 +27,12 @@
 // entry is one request with its state.
 type entry struct {
 	Request
-	engine   *engine // nil while it waits
-	output   float64 // expected tokens
-	density  float64 // worth on time for a second of a place
-	granted  time.Duration
-	started  bool // the first event arrived
-	startedA time.Duration
+	engine    *engine // nil while it waits
+	output    float64 // expected tokens
+	density   float64 // worth on time for a second of a place
+	granted   time.Duration
+	started   bool // the first event arrived
+	startedAt time.Duration
 }
 
 type service struct {
@@ -144,7 +144,7 @@
 		c.removeWaiting(e)
 		delete(c.requests, r.ID)
 	}
-	e := &entry{Request: r, granted: now, started: started, startedA: now}
+	e := &entry{Request: r, granted: now, started: started, startedAt: now}
 	c.requests[r.ID] = e
 	c.estimate(c.service(r.Service), e)
 	at := c.engines[engineID]
@@ -196,7 +196,7 @@
 	if e == nil || e.engine == nil || e.started {
 		return
 	}
-	e.started, e.startedA = true, now
+	e.started, e.startedAt = true, now
 	e.engine.answered(now)
 }
 
@@ -218,7 +218,7 @@
 		at.answered(now)
 		c.service(e.Service).outputs.learn(e.Tier, tokens)
 		if e.started && tokens > 0 {
-			c.pace.learn(at, now-e.startedA, tokens)
+			c.pace.learn(at, now-e.startedAt, tokens)
 		}
 	case OutcomeUnused, OutcomeRefused:
 		c.refund(e.Workspace, e.Charge)
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -185,7 +185,7 @@
 	c.Arrive(3*time.Second, late)
 	grants, _ = c.Decide(3 * time.Second)
 	is.Equal(len(grants), 0)
-	c.Started(4*time.Second, "1") // the engine lives
+	c.Started(4*time.Second, "1") // the engine answers
 	grants, _ = c.Decide(4 * time.Second)
 	is.Equal(len(grants), 1)
 }
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -17,7 +17,7 @@
 
 // burstPart is the part of a burst that can be spent at once. The rest is spread over the window, so
 // that a workspace that asks for more than its rate for long gets all that the quota grants in a
-// window, and yet can't take the engines by storm.
+// window, and yet can't occupy all engines at once.
 const burstPart = 0.5
 
 // refillRate and capacity make a bucket that passes Rate * Window + Burst in any window.
