Count the worth of a request by its expected output

Cause: the order counted the size of a request by the output that its caller allows, which is the same for a whole kind, so that long outputs had the work of their length and not its worth.

Ruled out: large prompts, which were served like the others.

Change: sizes.worth takes the expected output. The simulation values answers by their real output; TestLongAnswersAreServed failed before (largest tenth of tier 1 at load 2.5: 0.053 served, all 0.601; now 0.345 and 0.295).

--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +48,7 @@
 	request Request
 	kind    *kind
 	tokens  float64 // that it will write
+	size    float64 // in relation to the mean of its kind
 	worth   float64
 	first   time.Duration // of its first event, 0 while there is none
 	ended   bool
@@ -132,8 +135,8 @@
 			Output:  int(tokens*math.Exp(hintSpread*s.rand.NormFloat64())) + 1,
 			Arrived: s.now, Objective: s.now + k.objective, StartBy: s.now + min(callersPatience, k.deadline), Deadline: s.now + k.deadline,
 		}
-		size := float64(r.Prompt+10*k.most) / (k.prompt + float64(10*k.most))
-		s.requests[r.ID] = &simulated{request: r, kind: k, tokens: tokens, worth: k.value * min(0.3+0.7*size, 4)}
+		size := (float64(r.Prompt) + outputSize*tokens) / (k.prompt + outputSize*k.output)
+		s.requests[r.ID] = &simulated{request: r, kind: k, tokens: tokens, size: size, worth: k.value * min(0.3+0.7*size, 4)}
 		s.choose.Arrive(s.now, r)
 	}
 }
@@ -298,3 +301,44 @@
 	is.True(len(s.rejected) > 100)
 	is.True(float64(early) >= 0.8*float64(len(s.rejected)))
 }
+
+// served returns the share of a kind's requests that were answered in whole: all of them, the largest
+// tenth, and the fifth below it.
+func (s *simulation) served(k *kind) (all, largest, large float64) {
+	var requests []*simulated
+	for _, q := range s.requests {
+		if q.kind == k && q.request.Deadline <= simulatedTime {
+			requests = append(requests, q)
+		}
+	}
+	slices.SortFunc(requests, func(a, b *simulated) int { return cmp.Compare(b.size, a.size) })
+	share := func(part []*simulated) float64 {
+		whole := 0
+		for _, q := range part {
+			if s.whole[q.request.ID] {
+				whole++
+			}
+		}
+		return float64(whole) / float64(max(len(part), 1))
+	}
+	n := len(requests)
+	return share(requests), share(requests[:n/10]), share(requests[n/10 : 3*n/10])
+}
+
+// Guards against an order that serves a kind's long answers last, so that they are all but refused
+// beyond saturation. The users ask that the largest tenth of each kind, and the fifth below it, are
+// served at least half as often as the whole kind.
+func TestLongAnswersAreServed(t *testing.T) {
+	for _, load := range []float64{1.0, 1.5, 2.0, 2.5, 3.5} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(3, load, New())
+			for i := range kinds {
+				all, largest, large := s.served(&kinds[i])
+				t.Logf("load %.1f tier %d: served %.3f, largest tenth %.3f, fifth below %.3f", load, kinds[i].tier, all, largest, large)
+				is.True(largest >= all/2)
+				is.True(large >= all/2)
+			}
+		})
+	}
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -70,7 +70,7 @@
 
 // worth is what a request is worth in relation to the mean of its tier.
 func (z sizes) worth(e *entry) float64 {
-	size := float64(e.Prompt + outputSize*e.OutputMost)
+	size := float64(e.Prompt) + outputSize*e.output
 	mean, known := z[e.Tier]
 	if !known {
 		mean = size
