Count callers that return after a rejection as late in the order

Ruled out: late first events at engines (of the granted requests 4 in 100 were late); tiers of workspaces; quotas.

Change: the core learns the longest time that callers of a tier allow; one that allows under 0.84 of it returns, and its objective has passed. Callers of the simulation return once after a rejection.

--- a/placement/core.go
+++ b/placement/core.go
@@ -41,6 +41,7 @@
 	waiting []*entry
 	outputs outputs
 	sizes   sizes
+	allowed allowedTimes
 	recent  arrivals
 }
 
@@ -104,7 +105,7 @@
 func (c *Core) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{name: name, outputs: outputs{}, sizes: sizes{}}
+		s = &service{name: name, outputs: outputs{}, sizes: sizes{}, allowed: allowedTimes{}}
 		c.services[name] = s
 	}
 	return s
@@ -123,8 +124,13 @@
 	c.requests[r.ID] = e
 	s := c.service(r.Service)
 	c.estimate(s, e)
+	worth := e.density
+	if s.allowed.returning(r.Tier, r.Deadline-r.Arrived) {
+		e.Objective = r.Arrived - 1
+		worth *= lateValue
+	}
 	wait := c.expectedWait(now, s, e)
-	s.recent.add(now, e.density, c.pace.work(e, s.places()))
+	s.recent.add(now, worth, c.pace.work(e, s.places()))
 	if now+wait+c.pace.least(e) > min(e.StartBy, e.Deadline) {
 		delete(c.requests, r.ID)
 		c.refund(r.Workspace, r.Charge)
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -40,6 +40,7 @@
 	outputSpread    = 1.1
 	hintSpread      = 0.5
 	callersPatience = 3200 * time.Millisecond
+	deadlineSpread  = 0.15                 // of the time that callers allow
 	reportDelay     = 4 * time.Millisecond // between an engine and the allocator
 )
 
@@ -52,6 +53,8 @@
 	worth   float64
 	first   time.Duration // of its first event, 0 while there is none
 	ended   bool
+	// returnAt is when its caller returns after a rejection, 0 while it was not rejected.
+	returnAt time.Duration
 }
 
 // simulation plays arrivals against engines in steps of a millisecond.
@@ -63,6 +66,7 @@
 	now      time.Duration
 	rejected map[RequestID]time.Duration // when
 	whole    map[RequestID]bool
+	returns  []*simulated // callers that were refused once, in no order
 }
 
 // policy is what decides: the core, or a baseline.
@@ -104,6 +108,7 @@
 	choose.SetEngines(list)
 	for ; s.now < simulatedTime; s.now += time.Millisecond {
 		s.arrive(load)
+		s.returnCallers()
 		for _, e := range s.engines {
 			s.step(e)
 		}
@@ -113,11 +118,42 @@
 		}
 		for _, r := range rejections {
 			s.rejected[r.Request] = s.now
+			s.refuse(r)
 		}
 	}
 	return s
 }
 
+// refuse lets a caller return once, as it is told to but within a third of the time that it has left.
+func (s *simulation) refuse(r Rejection) {
+	q := s.requests[r.Request]
+	if q.returnAt != 0 {
+		return
+	}
+	left := q.request.Deadline - s.now
+	if q.returnAt = s.now + min(r.RetryAfter, left/3); left > 0 {
+		s.returns = append(s.returns, q)
+	}
+}
+
+// returnCallers sends the requests of callers that return. To the policy they are new ones.
+func (s *simulation) returnCallers() {
+	kept := s.returns[:0]
+	for _, q := range s.returns {
+		if s.now < q.returnAt {
+			kept = append(kept, q)
+			continue
+		}
+		r := q.request
+		r.ID += "-again"
+		r.Arrived, r.Objective, r.StartBy = s.now, s.now+q.kind.objective, min(s.now+callersPatience, r.Deadline)
+		q.request.ID, q.request.StartBy = r.ID, r.StartBy
+		s.requests[r.ID] = q
+		s.choose.Arrive(s.now, r)
+	}
+	s.returns = kept
+}
+
 func (s *simulation) logNormal(mean, spread float64) float64 {
 	return mean * math.Exp(spread*s.rand.NormFloat64()-spread*spread/2)
 }
@@ -129,11 +165,12 @@
 			continue
 		}
 		tokens := min(max(s.logNormal(k.output, outputSpread), 6), float64(k.most))
+		deadline := s.now + time.Duration(float64(k.deadline)*(1-deadlineSpread*s.rand.Float64()))
 		r := Request{
 			ID: RequestID(fmt.Sprint(len(s.requests))), Owner: "edge", DataCentre: "a", Service: "model", Tier: k.tier,
 			Prompt: int(s.logNormal(k.prompt, promptSpread)), OutputMost: k.most,
 			Output:  int(tokens*math.Exp(hintSpread*s.rand.NormFloat64())) + 1,
-			Arrived: s.now, Objective: s.now + k.objective, StartBy: s.now + min(callersPatience, k.deadline), Deadline: s.now + k.deadline,
+			Arrived: s.now, Objective: s.now + k.objective, StartBy: min(s.now+callersPatience, deadline), Deadline: deadline,
 		}
 		size := (float64(r.Prompt) + outputSize*tokens) / (k.prompt + outputSize*k.output)
 		s.requests[r.ID] = &simulated{request: r, kind: k, tokens: tokens, size: size, worth: k.value * min(0.3+0.7*size, 4)}
@@ -200,9 +237,9 @@
 // time counts in full, a late one three tenths, one that did not end nothing.
 func (s *simulation) earned() (byTier [3]float64, total float64) {
 	var owed, got [3]float64
-	for _, q := range s.requests {
-		if q.request.Deadline > simulatedTime {
-			continue // its end isn't played
+	for id, q := range s.requests {
+		if q.request.Deadline > simulatedTime || id != q.request.ID {
+			continue // its end isn't played, or its caller returned under another ID
 		}
 		owed[q.kind.tier] += q.worth
 		complete := s.whole[q.request.ID]
@@ -293,7 +330,11 @@
 	early := 0
 	for id, at := range s.rejected {
 		q := s.requests[id]
-		if at-q.request.Arrived <= q.kind.objective/8 {
+		arrived := q.request.Arrived
+		if id == q.request.ID && q.returnAt != 0 {
+			arrived = q.returnAt
+		}
+		if at-arrived <= q.kind.objective/8 {
 			early++
 		}
 	}
@@ -306,8 +347,8 @@
 // tenth, and the fifth below it.
 func (s *simulation) served(k *kind) (all, largest, large float64) {
 	var requests []*simulated
-	for _, q := range s.requests {
-		if q.kind == k && q.request.Deadline <= simulatedTime {
+	for id, q := range s.requests {
+		if q.kind == k && q.request.Deadline <= simulatedTime && id == q.request.ID {
 			requests = append(requests, q)
 		}
 	}
--- /dev/null
+++ b/placement/returning_test.go
@@ -0,0 +1,47 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against callers that return being taken for new ones, and new ones for those that return when
+// the time that callers allow changes.
+func TestReturningCallers(t *testing.T) {
+	is := is.New(t)
+	a := allowedTimes{}
+	is.True(!a.returning(0, 10*time.Second))
+	is.True(!a.returning(0, 8600*time.Millisecond)) // within the spread of first attempts
+	is.True(a.returning(0, 6500*time.Millisecond))
+	is.True(!a.returning(1, 2*time.Second)) // another tier
+	for range 5000 {
+		a.returning(0, 4*time.Second)
+	}
+	is.True(!a.returning(0, 4*time.Second)) // callers allow less by now
+	is.True(!a.returning(0, 12*time.Second))
+	is.True(a.returning(0, 9*time.Second))
+}
+
+// Guards against a free place that goes to a caller whose answer will be late in any case, while one
+// that can still be answered in time waits.
+func TestNewCallerGoesBeforeOneThatReturns(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 1)})
+	arrive := func(id string, now, left time.Duration) {
+		r := testRequest(id)
+		r.Arrived, r.Objective, r.StartBy, r.Deadline = now, now+time.Second, now+3*time.Second, now+left
+		c.Arrive(now, r)
+	}
+	arrive("first", 0, 10*time.Second)
+	grants, _ := c.Decide(0)
+	is.Equal(len(grants), 1)
+	arrive("returning", time.Millisecond, 6*time.Second)
+	arrive("new", 2*time.Millisecond, 10*time.Second)
+	c.End(3*time.Millisecond, "first", OutcomeAnswered, 1)
+	grants, _ = c.Decide(3 * time.Millisecond)
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].Request, RequestID("new"))
+}
