Remove decoded fields that decide nothing; let unasked exits fail a soak run

Parts of prompts and the path of health checks were decoded or carried, and no decision used them. The soak counted processes that ended by themselves and did not look at the count; only panics in logs failed a run.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -281,7 +281,7 @@
 	return placement.Request{
 		ID: requestID(o.name, in.ID), Owner: o.name, DataCentre: o.dataCentre,
 		Service: in.Service, Workspace: in.Workspace, Charge: in.Charge, Tier: in.Tier,
-		Prompt: in.Prompt, Output: in.Output, OutputMost: in.OutputMost, Parts: in.Parts, Excluded: in.Excluded,
+		Prompt: in.Prompt, Output: in.Output, OutputMost: in.OutputMost, Excluded: in.Excluded,
 		Arrived:   now - time.Duration(in.AgeMS)*time.Millisecond,
 		Objective: now + time.Duration(in.ObjectiveMS)*time.Millisecond,
 		StartBy:   now + time.Duration(in.StartByMS)*time.Millisecond,
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -423,7 +423,7 @@
 	r := &t.request
 	return fleet.Arrival{
 		ID: t.id, Service: r.Service, Workspace: r.Workspace, Charge: r.Charge, Tier: r.Tier,
-		Prompt: r.Prompt, Output: r.Output, OutputMost: r.OutputMost, Parts: r.Parts, Excluded: r.Excluded,
+		Prompt: r.Prompt, Output: r.Output, OutputMost: r.OutputMost, Excluded: r.Excluded,
 		AgeMS:       (now - r.Arrived).Milliseconds(),
 		ObjectiveMS: (r.Objective - now).Milliseconds(),
 		StartByMS:   (r.StartBy - now).Milliseconds(),
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -94,20 +94,19 @@
 
 // Arrival is a request that waits for a place. Times are relative to the sending of the update.
 type Arrival struct {
-	ID          uint64           `cbor:"1,keyasint"`
-	Service     string           `cbor:"2,keyasint"`
-	Workspace   string           `cbor:"3,keyasint,omitempty"`
-	Charge      float64          `cbor:"4,keyasint,omitempty"`
-	Tier        int              `cbor:"5,keyasint,omitempty"`
-	Prompt      int              `cbor:"6,keyasint,omitempty"`
-	Output      int              `cbor:"7,keyasint,omitempty"`
-	Parts       []placement.Part `cbor:"8,keyasint,omitempty"`
-	AgeMS       int64            `cbor:"9,keyasint,omitempty"`
-	ObjectiveMS int64            `cbor:"10,keyasint,omitempty"`
-	DeadlineMS  int64            `cbor:"11,keyasint,omitempty"`
-	Excluded    []string         `cbor:"12,keyasint,omitempty"`
-	OutputMost  int              `cbor:"13,keyasint,omitempty"`
-	StartByMS   int64            `cbor:"14,keyasint,omitempty"`
+	ID          uint64   `cbor:"1,keyasint"`
+	Service     string   `cbor:"2,keyasint"`
+	Workspace   string   `cbor:"3,keyasint,omitempty"`
+	Charge      float64  `cbor:"4,keyasint,omitempty"`
+	Tier        int      `cbor:"5,keyasint,omitempty"`
+	Prompt      int      `cbor:"6,keyasint,omitempty"`
+	Output      int      `cbor:"7,keyasint,omitempty"`
+	AgeMS       int64    `cbor:"9,keyasint,omitempty"`
+	ObjectiveMS int64    `cbor:"10,keyasint,omitempty"`
+	DeadlineMS  int64    `cbor:"11,keyasint,omitempty"`
+	Excluded    []string `cbor:"12,keyasint,omitempty"`
+	OutputMost  int      `cbor:"13,keyasint,omitempty"`
+	StartByMS   int64    `cbor:"14,keyasint,omitempty"`
 }
 
 // Run is a request that runs at an engine.
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -25,12 +25,6 @@
 	Leaving    bool   `cbor:"6,keyasint,omitempty"` // gets no new requests
 }
 
-// Part is one part of a prompt, identified together with all parts before it.
-type Part struct {
-	Chain  uint64 `cbor:"1,keyasint"` // hash of this part and all before it
-	Tokens int    `cbor:"2,keyasint,omitempty"`
-}
-
 // Request is a request that waits for a place.
 type Request struct {
 	ID         RequestID
@@ -43,7 +37,6 @@
 	Prompt     int     // tokens
 	Output     int     // expected tokens; 0 when the caller gives no estimate
 	OutputMost int     // tokens that the caller allows
-	Parts      []Part
 	Arrived    time.Duration
 	Objective  time.Duration // the first event is on time until then
 	StartBy    time.Duration // the caller leaves without a first event by then
--- a/routing/document.go
+++ b/routing/document.go
@@ -72,7 +72,6 @@
 // Service is a group of engines that serve the same requests.
 type Service struct {
 	Name        string
-	HealthPath  string
 	Connections int    // connections that each engine accepts from all instances together
 	Model       *Model // nil for a plain service
 }
--- a/soak/observer_test.go
+++ b/soak/observer_test.go
@@ -162,7 +162,7 @@
 	r.Header.Set(platform.HeaderAttempt, a.id)
 	r.Header.Set(platform.HeaderKey, a.key)
 	r.Header.Set(platform.HeaderDeadline, "4000")
-	r.Header.Set("X-Token-Count", "50,50")
+	r.Header.Set(platform.HeaderTokens, "50,50")
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, "", err
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -46,8 +46,7 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	wanted  bool // it should run
-	paused  bool
-	endings int // exits that nobody asked for
+	endings int  // exits that nobody asked for
 	claimed bool
 }
 
@@ -166,7 +165,7 @@
 	p.command = exec.Command(s.binary, p.role, "-shared-key", s.keyFile, "-settings", path)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	s.check(p.command.Start())
-	p.wanted, p.paused = true, false
+	p.wanted = true
 	p.exited = make(chan struct{})
 	go func(command *exec.Cmd, exited chan struct{}) {
 		command.Wait()
@@ -280,6 +279,12 @@
 func (s *system) crashes() string {
 	text := ""
 	for _, p := range s.processes {
+		p.mu.Lock()
+		endings := p.endings
+		p.mu.Unlock()
+		if endings > 0 {
+			text += fmt.Sprintf("%s ended %d times unasked\n", p.name, endings)
+		}
 		data, err := os.ReadFile(filepath.Join(s.folder, p.name+".log"))
 		s.check(err)
 		if at := bytes.Index(data, []byte("panic:")); at >= 0 {
