Log what the allocator believes of engines, and callers taken for returning ones

Cause: a rest or a pace of an engine changed where requests go and left no line; the log of a refused request did not tell that its caller was taken for one that returns.

Change: the core reports changes of an engine's health, the allocator writes one line for each (entry instances at debug level, or info while they place alone).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -329,10 +329,13 @@
 		if o := a.owners[r.Owner]; o != nil {
 			o.reply().Rejections = append(o.reply().Rejections, fleet.Rejection{
 				ID: numberOf(r.Owner, r.Request), Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds(),
-				Waiting: r.Waiting, WaitMS: r.Wait.Milliseconds(), Capacity: r.Capacity,
+				Waiting: r.Waiting, WaitMS: r.Wait.Milliseconds(), Capacity: r.Capacity, Returning: r.Returning,
 			})
 		}
 	}
+	for _, h := range a.core.HealthChanges() {
+		a.options.Logger.Info().EmbedObject(&h).Msg(placement.HealthMessage)
+	}
 	a.granted.Add(len(grants))
 	a.rejected.Add(len(rejections))
 	a.waiting.Update(float64(a.core.Waiting()))
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/primrosebeam/primrosebeam/placement"
 )
 
@@ -55,6 +57,13 @@
 }
 
 func (p *placer) decideHere(now time.Duration) {
+	level := zerolog.InfoLevel
+	if p.allocator() != "" {
+		level = zerolog.DebugLevel // the allocator's belief counts
+	}
+	for _, h := range p.local.HealthChanges() {
+		p.logger.WithLevel(level).EmbedObject(&h).Msg(placement.HealthMessage)
+	}
 	if p.allocator() != "" {
 		return
 	}
@@ -64,7 +73,7 @@
 	}
 	for _, r := range rejections {
 		p.reject(localNumber(r.Request), placed{
-			reason: r.Reason, retryAfter: r.RetryAfter, waiting: r.Waiting, wait: r.Wait, capacity: r.Capacity,
+			reason: r.Reason, retryAfter: r.RetryAfter, waiting: r.Waiting, wait: r.Wait, capacity: r.Capacity, returning: r.Returning,
 		})
 	}
 	exhausted := p.local.Exhausted(now)
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -50,6 +50,7 @@
 	waiting    int    // requests that waited when this one was rejected
 	wait       time.Duration
 	capacity   float64
+	returning  bool // the caller was taken for one that was refused before
 }
 
 type placerEvent struct {
@@ -306,7 +307,7 @@
 	for _, r := range a.Rejections {
 		p.reject(r.ID, placed{
 			reason: r.Reason, retryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, by: from,
-			waiting: r.Waiting, wait: time.Duration(r.WaitMS) * time.Millisecond, capacity: r.Capacity,
+			waiting: r.Waiting, wait: time.Duration(r.WaitMS) * time.Millisecond, capacity: r.Capacity, returning: r.Returning,
 		})
 	}
 }
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -85,7 +85,7 @@
 	}
 	if x.decision.reason != "" {
 		event.Int("waiting", x.decision.waiting).Dur("wait", x.decision.wait).Float64("capacity", x.decision.capacity).
-			Dur("retryAfter", x.decision.retryAfter)
+			Dur("retryAfter", x.decision.retryAfter).Bool("returning", x.decision.returning)
 	}
 	now := clock()
 	event.Dur("queued", x.queued).Dur("took", now-x.arrived).Dur("left", x.deadline-now).Msg("request")
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -154,4 +154,5 @@
 	Waiting      int              `cbor:"4,keyasint,omitempty"` // requests of the service that waited
 	WaitMS       int64            `cbor:"5,keyasint,omitempty"` // that was expected for this one
 	Capacity     float64          `cbor:"6,keyasint,omitempty"` // of the service, in engines of usual speed
+	Returning    bool             `cbor:"7,keyasint,omitempty"` // the caller was taken for one that was refused before
 }
--- a/placement/core.go
+++ b/placement/core.go
@@ -22,6 +22,7 @@
 
 	grants     []Grant
 	rejections []Rejection
+	changes    []HealthChange
 }
 
 // entry is one request with its state.
@@ -29,6 +30,7 @@
 	Request
 	engine    *engine // nil while it waits
 	output    float64 // expected tokens
+	returning bool    // its caller was refused before
 	density   float64 // worth on time for a second of a place
 	class     int     // of its size
 	granted   time.Duration
@@ -129,6 +131,7 @@
 	c.setDensity(s, e)
 	worth := e.density
 	if k.returning(r.Deadline - r.Arrived) {
+		e.returning = true
 		e.Objective = r.Arrived - 1
 		worth *= lateValue
 	} else {
@@ -210,7 +213,9 @@
 		return
 	}
 	e.started, e.startedAt = true, now
+	before := e.engine.health()
 	e.engine.answered(now)
+	c.noteHealth(e.engine, before, OutcomeAnswered)
 }
 
 // End reports the end of a run and the number of output tokens.
@@ -226,6 +231,7 @@
 	delete(c.requests, id)
 	at := e.engine
 	at.remove(e)
+	defer c.noteHealth(at, at.health(), outcome)
 	switch outcome {
 	case OutcomeAnswered:
 		at.answered(now)
@@ -248,6 +254,25 @@
 	}
 }
 
+// mostChanges bounds the changes that are kept for a caller that does not take them.
+const mostChanges = 1000
+
+func (c *Core) noteHealth(e *engine, before Health, outcome Outcome) {
+	if now := e.health(); now != before && len(c.changes) < mostChanges {
+		c.changes = append(c.changes, HealthChange{
+			Engine: e.ID, Service: e.Service, Health: now, Outcome: outcome,
+			Failures: e.failures, InRow: e.failuresInRow, Runs: len(e.runs),
+		})
+	}
+}
+
+// HealthChanges returns the changes since the last call.
+func (c *Core) HealthChanges() []HealthChange {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
 // mayRest reports whether another engine of a service may rest because of failures.
 func (s *service) mayRest(now time.Duration) bool {
 	resting := 0
@@ -294,7 +319,7 @@
 	s := c.service(e.Service)
 	c.rejections = append(c.rejections, Rejection{
 		Request: e.ID, Owner: e.Owner, Reason: reason, RetryAfter: retryAfter,
-		Waiting: len(s.waiting), Wait: wait, Capacity: c.capacity(now, s),
+		Waiting: len(s.waiting), Wait: wait, Capacity: c.capacity(now, s), Returning: e.returning,
 	})
 }
 
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -335,9 +335,15 @@
 			}
 		}
 	}
-	t.Log(failed)
 	is.True(failed["a"] <= 20)
 	is.True(failed["b"] <= 20)
+	healths := map[string]Health{}
+	for _, change := range c.HealthChanges() {
+		healths[change.Engine] = change.Health
+		is.Equal(change.Outcome, OutcomeFailed)
+	}
+	is.Equal(healths, map[string]Health{"a": HealthRests, "b": HealthPaced}) // each change is reported
+	is.Equal(len(c.HealthChanges()), 0)
 }
 
 // Guards against engines that all fail for a cause elsewhere and are not tried any more.
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,7 +10,11 @@
 // The package has no I/O, no goroutines and no clock: times are durations since an origin of the caller.
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
 
 // RequestID identifies a request among all instances.
 type RequestID string
@@ -72,6 +76,37 @@
 	Waiting    int           // requests of the service that waited
 	Wait       time.Duration // that was expected for this one
 	Capacity   float64       // of the service, in engines of usual speed
+	Returning  bool          // the caller was taken for one that was refused before
+}
+
+// Health is what a core believes of an engine from the ends of its runs.
+type Health string
+
+// Healths of an engine.
+const (
+	HealthUsable Health = "usable"
+	HealthRests  Health = "rests" // gets no runs for a while, then one at a time until it answers
+	HealthPaced  Health = "paced" // gets one run at a time with a pause after each failure
+)
+
+// HealthMessage is the message of the log line for a HealthChange.
+const HealthMessage = "health of an engine changed"
+
+// HealthChange is a change of what a core believes of an engine.
+type HealthChange struct {
+	Engine   string
+	Service  string
+	Health   Health
+	Outcome  Outcome // of the run that changed it
+	Failures float64 // decaying share of failed runs
+	InRow    int     // failures since the last answer
+	Runs     int
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (h *HealthChange) MarshalZerologObject(event *zerolog.Event) {
+	event.Str("engine", h.Engine).Str("service", h.Service).Str("health", string(h.Health)).Stringer("outcome", h.Outcome).
+		Float64("failures", h.Failures).Int("inRow", h.InRow).Int("runs", h.Runs)
 }
 
 // Outcome tells how the run of a request ended.
@@ -86,3 +121,13 @@
 	OutcomeUnreached                // no connection to the engine
 	OutcomeUnused                   // the grant came too late
 )
+
+var outcomeNames = [...]string{"answered", "cancelled", "refused", "failed", "unreached", "unused"}
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
