Learn kinds of requests by route, and tell returning callers by the stated time alone

Cause: two routes of one tier with unlike deadlines, or a shorter time-out of a route, would have made new callers count as returning ones; the time was taken from the deadline, which the route's time-out cuts.

Change: requests carry their route and the time that the caller stated.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -280,12 +280,13 @@
 func (o *owner) request(now time.Duration, in *fleet.Arrival) placement.Request {
 	return placement.Request{
 		ID: requestID(o.name, in.ID), Owner: o.name, DataCentre: o.dataCentre,
-		Service: in.Service, Workspace: in.Workspace, Charge: in.Charge, Tier: in.Tier,
+		Service: in.Service, Workspace: in.Workspace, Charge: in.Charge, Tier: in.Tier, Route: in.Route,
 		Prompt: in.Prompt, Output: in.Output, OutputMost: in.OutputMost, Excluded: in.Excluded,
 		Arrived:   now - time.Duration(in.AgeMS)*time.Millisecond,
 		Objective: now + time.Duration(in.ObjectiveMS)*time.Millisecond,
 		StartBy:   now + time.Duration(in.StartByMS)*time.Millisecond,
 		Deadline:  now + time.Duration(in.DeadlineMS)*time.Millisecond,
+		Allowed:   time.Duration(in.AllowedMS) * time.Millisecond,
 	}
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -22,6 +22,7 @@
 	service   *routing.Service
 	workspace *routing.Workspace // nil on an anonymous route
 	tier      int
+	allowed   time.Duration // stated by the caller, 0 when it does not say
 	body      []byte
 	tokens    platform.Tokens
 	hasTokens bool
@@ -160,6 +161,7 @@
 	patience := x.route.Timeout
 	if stated, ok := platform.ParseDeadline(x.request.Header); ok {
 		patience = min(patience, stated)
+		x.allowed = stated
 	}
 	x.deadline = x.arrived + patience
 	x.objective = x.arrived + x.route.Objective
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -423,11 +423,12 @@
 func arrival(now time.Duration, t *ticket) fleet.Arrival {
 	r := &t.request
 	return fleet.Arrival{
-		ID: t.id, Service: r.Service, Workspace: r.Workspace, Charge: r.Charge, Tier: r.Tier,
+		ID: t.id, Service: r.Service, Workspace: r.Workspace, Charge: r.Charge, Tier: r.Tier, Route: r.Route,
 		Prompt: r.Prompt, Output: r.Output, OutputMost: r.OutputMost, Excluded: r.Excluded,
 		AgeMS:       (now - r.Arrived).Milliseconds(),
 		ObjectiveMS: (r.Objective - now).Milliseconds(),
 		StartByMS:   (r.StartBy - now).Milliseconds(),
 		DeadlineMS:  (r.Deadline - now).Milliseconds(),
+		AllowedMS:   r.Allowed.Milliseconds(),
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -166,8 +166,9 @@
 
 func (x *exchange) placementRequest() placement.Request {
 	r := placement.Request{
-		Service: x.service.Name, Tier: x.tier, Prompt: x.tokens.Prompt, Output: x.expectedOutput(),
-		OutputMost: x.tokens.OutputMax, Arrived: x.arrived, Objective: x.objective, StartBy: x.startBy(), Deadline: x.deadline, Excluded: x.excluded,
+		Service: x.service.Name, Tier: x.tier, Route: x.route.Name, Prompt: x.tokens.Prompt, Output: x.expectedOutput(),
+		OutputMost: x.tokens.OutputMax, Arrived: x.arrived, Objective: x.objective, StartBy: x.startBy(), Deadline: x.deadline,
+		Allowed: x.allowed, Excluded: x.excluded,
 	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -107,6 +107,8 @@
 	Excluded    []string `cbor:"12,keyasint,omitempty"`
 	OutputMost  int      `cbor:"13,keyasint,omitempty"`
 	StartByMS   int64    `cbor:"14,keyasint,omitempty"`
+	Route       string   `cbor:"15,keyasint,omitempty"`
+	AllowedMS   int64    `cbor:"16,keyasint,omitempty"` // what the caller stated to wait at most
 }
 
 // Run is a request that runs at an engine.
--- a/placement/core.go
+++ b/placement/core.go
@@ -42,7 +42,7 @@
 	name    string
 	engines []*engine
 	waiting []*entry
-	kinds   map[int]*kind // by tier
+	kinds   map[string]*kind // by route
 	// reviewAt is when the expected waits are estimated again.
 	reviewAt time.Duration
 	recent   arrivals
@@ -108,7 +108,7 @@
 func (c *Core) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{name: name, kinds: map[int]*kind{}}
+		s = &service{name: name, kinds: map[string]*kind{}}
 		c.services[name] = s
 	}
 	return s
@@ -126,11 +126,11 @@
 	e := &entry{Request: r}
 	c.requests[r.ID] = e
 	s := c.service(r.Service)
-	k := s.kind(r.Tier)
+	k := s.kind(r.Route)
 	e.output = k.expectedOutput(&r)
 	c.setDensity(s, e)
 	worth := e.density
-	if k.returning(r.Deadline - r.Arrived) {
+	if k.returning(r.Allowed) {
 		e.returning = true
 		e.Objective = r.Arrived - 1
 		worth *= lateValue
@@ -161,7 +161,7 @@
 	e := &entry{Request: r, granted: now, started: started, startedAt: now}
 	c.requests[r.ID] = e
 	s := c.service(r.Service)
-	e.output = s.kind(r.Tier).expectedOutput(&r)
+	e.output = s.kind(r.Route).expectedOutput(&r)
 	c.setDensity(s, e)
 	at := c.engines[engineID]
 	if at == nil {
@@ -235,7 +235,7 @@
 	switch outcome {
 	case OutcomeAnswered:
 		at.answered(now)
-		c.service(e.Service).kind(e.Tier).learnOutput(tokens)
+		c.service(e.Service).kind(e.Route).learnOutput(tokens)
 		if e.started && tokens > 0 {
 			c.pace.learn(at, now-e.startedAt, tokens)
 		}
@@ -353,7 +353,7 @@
 	}
 	c.removeWaiting(e)
 	e.granted = now
-	s.kind(e.Tier).shares.serve(e.class)
+	s.kind(e.Route).shares.serve(e.class)
 	at.add(e)
 	c.grants = append(c.grants, Grant{Request: e.ID, Owner: e.Owner, Engine: at.Engine, Runs: len(at.runs)})
 	return true
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -38,6 +38,7 @@
 	Workspace  string
 	Charge     float64 // against the quota of the workspace
 	Tier       int     // 0 is the most urgent
+	Route      string  // requests of a route are alike
 	Prompt     int     // tokens
 	Output     int     // expected tokens; 0 when the caller gives no estimate
 	OutputMost int     // tokens that the caller allows
@@ -45,6 +46,7 @@
 	Objective  time.Duration // the first event is on time until then
 	StartBy    time.Duration // the caller leaves without a first event by then
 	Deadline   time.Duration // the answer is of no use afterwards
+	Allowed    time.Duration // what the caller stated to wait at most, whatever its route allows; 0 means unknown
 	Excluded   []string      // engines that failed this request
 }
 
--- a/placement/kind.go
+++ b/placement/kind.go
@@ -2,20 +2,26 @@
 
 import "time"
 
-// kind holds what was learned about the requests of a tier of a service.
+// kind holds what was learned about the requests of a route at a service.
 type kind struct {
 	meanOutput float64 // tokens; 0 while none is known
 	meanSize   float64 // in prompt tokens; 0 while none is known
-	// longest is the longest time that callers allowed lately.
+	// longest is the longest time that callers stated lately to wait.
 	longest time.Duration
 	shares  shares
 }
 
-func (s *service) kind(tier int) *kind {
-	k := s.kinds[tier]
+// mostKinds bounds the kinds of a service, since routes come and go: beyond it all are learned anew.
+const mostKinds = 1000
+
+func (s *service) kind(route string) *kind {
+	k := s.kinds[route]
 	if k == nil {
+		if len(s.kinds) >= mostKinds {
+			clear(s.kinds)
+		}
 		k = &kind{}
-		s.kinds[tier] = k
+		s.kinds[route] = k
 	}
 	return k
 }
@@ -87,9 +93,12 @@
 	longestDecay = 0.0005
 )
 
-// returning learns the time that a caller allows, and reports whether it is so short that the caller
-// was refused before. The objective counts from its first attempt and has passed.
+// returning learns the time that a caller states to wait, and reports whether it is so short that the
+// caller was refused before. The objective counts from its first attempt and has passed.
 func (k *kind) returning(allowed time.Duration) bool {
+	if allowed <= 0 {
+		return false // It does not say.
+	}
 	if allowed >= k.longest {
 		k.longest = allowed
 		return false
--- a/placement/kind_test.go
+++ b/placement/kind_test.go
@@ -31,7 +31,7 @@
 	c.SetEngines([]Engine{testEngine("e", 1)})
 	arrive := func(id string, now, left time.Duration) {
 		r := testRequest(id)
-		r.Arrived, r.Objective, r.StartBy, r.Deadline = now, now+time.Second, now+3*time.Second, now+left
+		r.Arrived, r.Objective, r.StartBy, r.Deadline, r.Allowed = now, now+time.Second, now+3*time.Second, now+left, left
 		c.Arrive(now, r)
 	}
 	arrive("first", 0, 10*time.Second)
@@ -44,3 +44,22 @@
 	is.Equal(len(grants), 1)
 	is.Equal(grants[0].Request, RequestID("new"))
 }
+
+// Guards against new callers being taken for returning ones when a route shares its tier with one whose
+// callers wait longer, or when the time-out of their route becomes shorter.
+func TestReturningIsToldByRouteAndStatedTime(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 4)})
+	arrive := func(id, route string, allowed, deadline time.Duration) bool {
+		r := testRequest(id)
+		r.Route, r.Allowed, r.Deadline = route, allowed, deadline
+		c.Arrive(0, r)
+		return c.requests[r.ID].returning
+	}
+	is.True(!arrive("a", "long", 12*time.Second, 12*time.Second))
+	is.True(!arrive("b", "short", 4*time.Second, 4*time.Second))
+	is.True(!arrive("c", "long", 11*time.Second, 5*time.Second)) // new time-out of the route
+	is.True(arrive("d", "long", 8*time.Second, 5*time.Second))
+	is.True(!arrive("e", "long", 0, 5*time.Second)) // the caller does not say
+}
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -146,6 +146,7 @@
 		}
 		r := q.request
 		r.ID += "-again"
+		r.Allowed = r.Deadline - s.now
 		r.Arrived, r.Objective, r.StartBy = s.now, s.now+q.kind.objective, min(s.now+callersPatience, r.Deadline)
 		q.request.ID, q.request.StartBy = r.ID, r.StartBy
 		s.requests[r.ID] = q
@@ -167,10 +168,10 @@
 		tokens := min(max(s.logNormal(k.output, outputSpread), 6), float64(k.most))
 		deadline := s.now + time.Duration(float64(k.deadline)*(1-deadlineSpread*s.rand.Float64()))
 		r := Request{
-			ID: RequestID(fmt.Sprint(len(s.requests))), Owner: "edge", DataCentre: "a", Service: "model", Tier: k.tier,
+			ID: RequestID(fmt.Sprint(len(s.requests))), Owner: "edge", DataCentre: "a", Service: "model", Route: fmt.Sprint(k.tier), Tier: k.tier,
 			Prompt: int(s.logNormal(k.prompt, promptSpread)), OutputMost: k.most,
 			Output:  int(tokens*math.Exp(hintSpread*s.rand.NormFloat64())) + 1,
-			Arrived: s.now, Objective: s.now + k.objective, StartBy: min(s.now+callersPatience, deadline), Deadline: deadline,
+			Arrived: s.now, Objective: s.now + k.objective, StartBy: min(s.now+callersPatience, deadline), Deadline: deadline, Allowed: deadline - s.now,
 		}
 		size := (float64(r.Prompt) + outputSize*tokens) / (k.prompt + outputSize*k.output)
 		s.requests[r.ID] = &simulated{request: r, kind: k, tokens: tokens, size: size, worth: k.value * min(0.3+0.7*size, 4)}
--- a/placement/order.go
+++ b/placement/order.go
@@ -50,7 +50,7 @@
 // setDensity sets what an answer on time is worth, in relation to a usual one of the most urgent tier,
 // for a second of a place.
 func (c *Core) setDensity(s *service, e *entry) {
-	k := s.kind(e.Tier)
+	k := s.kind(e.Route)
 	size := k.relativeSize(e)
 	e.class = class(size)
 	worth := math.Pow(tierValue, float64(e.Tier)) * sizeWorth(size) * k.shares.raise(e.class)
