--- a/placement/core.go
+++ b/placement/core.go
@@ -254,47 +254,6 @@
 	}
 }
 
-// mostChanges bounds the changes that are kept for a caller that does not take them.
-const mostChanges = 1000
-
-func (c *Core) noteHealth(e *engine, before Health, outcome Outcome) {
-	if now := e.health(); now != before && len(c.changes) < mostChanges {
-		c.changes = append(c.changes, HealthChange{
-			Engine: e.ID, Service: e.Service, Health: now, Outcome: outcome,
-			Failures: e.failures, InRow: e.failuresInRow, Runs: len(e.runs),
-		})
-	}
-}
-
-// HealthChanges returns the changes since the last call.
-func (c *Core) HealthChanges() []HealthChange {
-	changes := c.changes
-	c.changes = nil
-	return changes
-}
-
-// mayRest reports whether another engine of a service may rest because of failures.
-func (s *service) mayRest(now time.Duration) bool {
-	resting := 0
-	for _, e := range s.engines {
-		if now < e.restsUntil || e.probation {
-			resting++
-		}
-	}
-	return float64(resting+1) <= max(restingPart*float64(len(s.engines)), 1)
-}
-
-// mayPace reports whether another engine of a service may be paced because of failures.
-func (s *service) mayPace(now time.Duration) bool {
-	out := 0
-	for _, e := range s.engines {
-		if now < e.restsUntil || e.probation || e.paced {
-			out++
-		}
-	}
-	return float64(out+1) <= pacedPart*float64(len(s.engines))
-}
-
 // Forget drops everything of an owner that is gone.
 func (c *Core) Forget(owner string) {
 	for _, id := range c.Owned(owner) {
@@ -372,18 +331,28 @@
 
 // expire rejects the requests that can't be answered in time any more.
 func (c *Core) expire(now time.Duration, s *service) {
-	kept := s.waiting[:0]
-	for _, e := range s.waiting {
+	c.rejectWaiting(now, s, func(_ int, e *entry) (Reason, time.Duration) {
 		if now+c.pace.least(e) <= min(e.StartBy, e.Deadline) {
+			return "", 0
+		}
+		return ReasonDeadline, c.expectedWait(now, s, e)
+	})
+}
+
+// rejectWaiting rejects the waiting requests for which judge gives a reason, with the wait that is
+// expected for them.
+func (c *Core) rejectWaiting(now time.Duration, s *service, judge func(i int, e *entry) (Reason, time.Duration)) {
+	kept := make([]*entry, 0, len(s.waiting))
+	for i, e := range s.waiting {
+		reason, wait := judge(i, e)
+		if reason == "" {
 			kept = append(kept, e)
 			continue
 		}
 		delete(c.requests, e.ID)
 		c.refund(e.Workspace, e.Charge)
-		wait := c.expectedWait(now, s, e)
-		c.reject(now, e, ReasonDeadline, retryTime(wait), wait)
+		c.reject(now, e, reason, retryTime(wait), wait)
 	}
-	clear(s.waiting[len(kept):])
 	s.waiting = kept
 }
 
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,11 +10,7 @@
 // The package has no I/O, no goroutines and no clock: times are durations since an origin of the caller.
 package placement
 
-import (
-	"time"
-
-	"github.com/rs/zerolog"
-)
+import "time"
 
 // RequestID identifies a request among all instances.
 type RequestID string
@@ -81,36 +77,6 @@
 	Returning  bool          // the caller was taken for one that was refused before
 }
 
-// Health is what a core believes of an engine from the ends of its runs.
-type Health string
-
-// Healths of an engine.
-const (
-	HealthUsable Health = "usable"
-	HealthRests  Health = "rests" // gets no runs for a while, then one at a time until it answers
-	HealthPaced  Health = "paced" // gets one run at a time with a pause after each failure
-)
-
-// HealthMessage is the message of the log line for a HealthChange.
-const HealthMessage = "health of an engine changed"
-
-// HealthChange is a change of what a core believes of an engine.
-type HealthChange struct {
-	Engine   string
-	Service  string
-	Health   Health
-	Outcome  Outcome // of the run that changed it
-	Failures float64 // decaying share of failed runs
-	InRow    int     // failures since the last answer
-	Runs     int
-}
-
-// MarshalZerologObject implements zerolog.LogObjectMarshaler.
-func (h *HealthChange) MarshalZerologObject(event *zerolog.Event) {
-	event.Str("engine", h.Engine).Str("service", h.Service).Str("health", string(h.Health)).Stringer("outcome", h.Outcome).
-		Float64("failures", h.Failures).Int("inRow", h.InRow).Int("runs", h.Runs)
-}
-
 // Outcome tells how the run of a request ended.
 type Outcome uint8
 
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -130,16 +130,6 @@
 	}
 }
 
-func (e *engine) health() Health {
-	switch {
-	case e.paced:
-		return HealthPaced
-	case e.probation:
-		return HealthRests
-	}
-	return HealthUsable
-}
-
 func (e *engine) refused(now time.Duration) { e.rest(now, refusedPause) }
 
 func (e *engine) rest(now, d time.Duration) { e.restsUntil = max(e.restsUntil, now+d) }
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -1,11 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// retryLeast and retryMost bound the time after which a rejected caller is told to return. Callers
@@ -90,8 +85,7 @@
 		waiting = append(waiting, weighedWork{e.worthNow(now), c.pace.work(e, s.places())})
 	}
 	queue, arriving := newRanking(waiting), newRanking(s.recent.since(now-arrivalWindow))
-	hopeless := map[*entry]time.Duration{}
-	for i, e := range s.waiting {
+	c.rejectWaiting(now, s, func(i int, e *entry) (Reason, time.Duration) {
 		wait := c.waitBy(now, s, e, func(density float64) demand {
 			d := demand{work: queue.before(density), load: arriving.before(density).Seconds() / arrivalWindow.Seconds()}
 			if waiting[i].density >= density {
@@ -99,25 +93,11 @@
 			}
 			return d
 		})
-		if float64(wait) > reviewMargin*float64(min(e.StartBy, e.Deadline)-now-c.pace.least(e)) {
-			hopeless[e] = wait
+		if float64(wait) <= reviewMargin*float64(min(e.StartBy, e.Deadline)-now-c.pace.least(e)) {
+			return "", 0
 		}
-	}
-	if len(hopeless) == 0 {
-		return
-	}
-	kept := s.waiting[:0]
-	for _, e := range s.waiting {
-		if wait, ok := hopeless[e]; ok {
-			delete(c.requests, e.ID)
-			c.refund(e.Workspace, e.Charge)
-			c.reject(now, e, ReasonOverload, retryTime(wait), wait)
-			continue
-		}
-		kept = append(kept, e)
-	}
-	clear(s.waiting[len(kept):])
-	s.waiting = kept
+		return ReasonOverload, wait
+	})
 }
 
 // capacity is the number of engines of usual speed that the engines of a service amount to.
@@ -180,33 +160,3 @@
 	}
 	return works
 }
-
-type weighedWork struct {
-	density float64
-	work    time.Duration
-}
-
-// ranking answers how much work has a density or a higher one.
-type ranking struct {
-	densities []float64 // highest first
-	sums      []time.Duration
-}
-
-func newRanking(works []weighedWork) ranking {
-	sorted := slices.SortedFunc(slices.Values(works), func(a, b weighedWork) int { return cmp.Compare(b.density, a.density) })
-	r := ranking{make([]float64, len(sorted)), make([]time.Duration, len(sorted))}
-	var sum time.Duration
-	for i, w := range sorted {
-		sum += w.work
-		r.densities[i], r.sums[i] = w.density, sum
-	}
-	return r
-}
-
-func (r *ranking) before(density float64) time.Duration {
-	n := sort.Search(len(r.densities), func(i int) bool { return r.densities[i] < density })
-	if n == 0 {
-		return 0
-	}
-	return r.sums[n-1]
-}
