--- a/placement/core.go
+++ b/placement/core.go
@@ -342,18 +342,25 @@
 // rejectWaiting rejects the waiting requests for which judge gives a reason, with the wait that is
 // expected for them.
 func (c *Core) rejectWaiting(now time.Duration, s *service, judge func(i int, e *entry) (Reason, time.Duration)) {
-	kept := make([]*entry, 0, len(s.waiting))
+	var kept []*entry // set with the first rejection, as judge may look at all that wait
 	for i, e := range s.waiting {
 		reason, wait := judge(i, e)
 		if reason == "" {
-			kept = append(kept, e)
+			if kept != nil {
+				kept = append(kept, e)
+			}
 			continue
 		}
+		if kept == nil {
+			kept = append(make([]*entry, 0, len(s.waiting)), s.waiting[:i]...)
+		}
 		delete(c.requests, e.ID)
 		c.refund(e.Workspace, e.Charge)
 		c.reject(now, e, reason, retryTime(wait), wait)
 	}
-	s.waiting = kept
+	if kept != nil {
+		s.waiting = kept
+	}
 }
 
 // Waiting returns the number of requests that wait.
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -22,7 +22,7 @@
 // capacity that the requests still to come leave. A request that would wait beyond its objective is
 // worth less from then on, so that more goes before it.
 func (c *Core) expectedWait(now time.Duration, s *service, e *entry) time.Duration {
-	return c.waitBy(now, s, e, func(density float64) demand {
+	return c.waitBy(now, c.capacity(now, s)*float64(s.places()), e, func(density float64) demand {
 		d := demand{load: s.recent.load(now, density)}
 		for _, other := range s.waiting {
 			if other != e && other.worthNow(now) >= density {
@@ -39,21 +39,21 @@
 	load float64       // places that arriving requests keep busy
 }
 
-func (c *Core) waitBy(now time.Duration, s *service, e *entry, before func(density float64) demand) time.Duration {
-	capacity := c.capacity(now, s) * float64(s.places())
-	if capacity == 0 {
+// waitBy estimates the wait for one of a number of places, given what goes before a density.
+func (c *Core) waitBy(now time.Duration, places float64, e *entry, before func(density float64) demand) time.Duration {
+	if places == 0 {
 		return noCapacityWait
 	}
-	wait := before(e.density).wait(capacity)
+	wait := before(e.density).wait(places)
 	if now+wait+c.pace.least(e) <= e.Objective {
 		return wait
 	}
-	return before(lateValue * e.density).wait(capacity)
+	return before(lateValue * e.density).wait(places)
 }
 
-func (d demand) wait(capacity float64) time.Duration {
-	left := max(1-d.load/capacity, leastRoom)
-	return time.Duration(float64(d.work) / (capacity * left))
+func (d demand) wait(places float64) time.Duration {
+	left := max(1-d.load/places, leastRoom)
+	return time.Duration(float64(d.work) / (places * left))
 }
 
 // worthNow is the density of a waiting request, less once it is late.
@@ -85,8 +85,9 @@
 		waiting = append(waiting, weighedWork{e.worthNow(now), c.pace.work(e, s.places())})
 	}
 	queue, arriving := newRanking(waiting), newRanking(s.recent.since(now-arrivalWindow))
+	places := c.capacity(now, s) * float64(s.places())
 	c.rejectWaiting(now, s, func(i int, e *entry) (Reason, time.Duration) {
-		wait := c.waitBy(now, s, e, func(density float64) demand {
+		wait := c.waitBy(now, places, e, func(density float64) demand {
 			d := demand{work: queue.before(density), load: arriving.before(density).Seconds() / arrivalWindow.Seconds()}
 			if waiting[i].density >= density {
 				d.work -= waiting[i].work
