Leave a silent engine only for another one, and place begun streams first

Cause: a stream that was silent for 1.6 s was cancelled before it was known whether it may go on elsewhere.

Placed again, a begun stream was refused for overload (16), or for a quota that it had paid already (2).

Change: the watch of a send reserves the repeated send first and starts again while it gets none; a begun stream goes before new requests, is not refused for overload, and a charge of nothing passes a used-up quota.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -280,7 +280,7 @@
 func (o *owner) request(now time.Duration, in *fleet.Arrival) placement.Request {
 	return placement.Request{
 		ID: requestID(o.name, in.ID), Owner: o.name, DataCentre: o.dataCentre,
-		Service: in.Service, Workspace: in.Workspace, Charge: in.Charge, Tier: in.Tier, Route: in.Route,
+		Service: in.Service, Workspace: in.Workspace, Charge: in.Charge, Tier: in.Tier, Route: in.Route, Begun: in.Begun,
 		Prompt: in.Prompt, Output: in.Output, OutputMost: in.OutputMost, Excluded: in.Excluded,
 		Arrived:   now - time.Duration(in.AgeMS)*time.Millisecond,
 		Objective: now + time.Duration(in.ObjectiveMS)*time.Millisecond,
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/platform"
@@ -13,19 +14,20 @@
 
 // exchange is one request of a caller on its way through this instance.
 type exchange struct {
-	edge      *Edge
-	writer    http.ResponseWriter
-	request   *http.Request
-	id        string // the caller's name of this attempt
-	table     *routing.Table
-	route     *routing.Route
-	service   *routing.Service
-	workspace *routing.Workspace // nil on an anonymous route
-	tier      int
-	allowed   time.Duration // stated by the caller, 0 when it does not say
-	body      []byte
-	tokens    platform.Tokens
-	hasTokens bool
+	edge         *Edge
+	writer       http.ResponseWriter
+	request      *http.Request
+	id           string // the caller's name of this attempt
+	table        *routing.Table
+	route        *routing.Route
+	service      *routing.Service
+	workspace    *routing.Workspace // nil on an anonymous route
+	tier         int
+	moveReserved atomic.Bool   // a repeated send was taken from the budget
+	allowed      time.Duration // stated by the caller, 0 when it does not say
+	body         []byte
+	tokens       platform.Tokens
+	hasTokens    bool
 
 	arrived   time.Duration // by clock()
 	objective time.Duration
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -423,7 +423,7 @@
 func arrival(now time.Duration, t *ticket) fleet.Arrival {
 	r := &t.request
 	return fleet.Arrival{
-		ID: t.id, Service: r.Service, Workspace: r.Workspace, Charge: r.Charge, Tier: r.Tier, Route: r.Route,
+		ID: t.id, Service: r.Service, Workspace: r.Workspace, Charge: r.Charge, Tier: r.Tier, Route: r.Route, Begun: r.Begun,
 		Prompt: r.Prompt, Output: r.Output, OutputMost: r.OutputMost, Excluded: r.Excluded,
 		AgeMS:       (now - r.Arrived).Milliseconds(),
 		ObjectiveMS: (r.Objective - now).Milliseconds(),
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -91,7 +91,17 @@
 	default:
 		return false
 	}
-	return x.edge.budget.spend(clock(), x.service.Name)
+	return x.moveReserved.Swap(false) || x.edge.budget.spend(clock(), x.service.Name)
+}
+
+// reserveMove takes a repeated send from the budget for a request whose engine is silent. Another
+// goroutine than that of the request calls it.
+func (x *exchange) reserveMove() bool {
+	if x.left() < resendMargin || !x.edge.budget.spend(clock(), x.service.Name) {
+		return false
+	}
+	x.moveReserved.Store(true)
+	return true
 }
 
 // place is a place at an engine that a request holds until end.
@@ -168,7 +178,7 @@
 	r := placement.Request{
 		Service: x.service.Name, Tier: x.tier, Route: x.route.Name, Prompt: x.tokens.Prompt, Output: x.expectedOutput(),
 		OutputMost: x.tokens.OutputMax, Arrived: x.arrived, Objective: x.objective, StartBy: x.startBy(), Deadline: x.deadline,
-		Allowed: x.allowed, Excluded: x.excluded,
+		Allowed: x.allowed, Excluded: x.excluded, Begun: x.header,
 	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -42,7 +42,7 @@
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("request can't be written for an engine")
 		return verdictFailed
 	}
-	watch := newWatchdog(cancel, x.patience())
+	watch := newWatchdog(cancel, x.patience(), x.reserveMove)
 	defer watch.stop()
 	response, err := x.edge.transport.RoundTrip(request)
 	if err != nil {
@@ -225,20 +225,35 @@
 	maps.Copy(x.writer.Header(), header)
 }
 
-// watchdog cancels a send that is silent for too long.
+// watchdog cancels a send that is silent for too long, if the request may move to another engine then.
+// A silent engine alone is no reason to end its answer.
 type watchdog struct {
-	timer  *time.Timer
-	expiry atomic.Bool
+	timer   *time.Timer // nil when nothing is watched
+	expiry  atomic.Bool
+	stopped atomic.Bool
 }
 
-func newWatchdog(cancel func(), patience time.Duration) *watchdog {
+// newWatchdog watches for a patience; 0 means not at all. mayMove reserves the move to another engine; as
+// long as it refuses, the watch starts again.
+func newWatchdog(cancel func(), patience time.Duration, mayMove func() bool) *watchdog {
 	w := &watchdog{}
-	if patience > 0 {
-		w.timer = time.AfterFunc(patience, func() {
+	if patience <= 0 {
+		return w
+	}
+	w.timer = time.AfterFunc(time.Hour, func() {
+		switch {
+		case w.stopped.Load():
+		case mayMove():
 			w.expiry.Store(true)
 			cancel()
-		})
-	}
+		default:
+			w.timer.Reset(patience)
+			if w.stopped.Load() {
+				w.timer.Stop()
+			}
+		}
+	})
+	w.timer.Reset(patience)
 	return w
 }
 
@@ -248,13 +263,14 @@
 		return
 	}
 	if patience == 0 {
-		w.timer.Stop()
+		w.stop()
 		return
 	}
 	w.timer.Reset(patience)
 }
 
 func (w *watchdog) stop() {
+	w.stopped.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -88,8 +88,10 @@
 			p.start()
 			x.begin(r)
 		}
-		if x.route.Resume && watch.timer != nil {
+		if x.route.Resume && numbered {
 			watch.reset(x.pausePatience())
+		} else {
+			watch.reset(0) // It can't go on elsewhere.
 		}
 		if _, err := x.writer.Write(event); err != nil {
 			return verdictGone
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -109,6 +109,7 @@
 	StartByMS   int64    `cbor:"14,keyasint,omitempty"`
 	Route       string   `cbor:"15,keyasint,omitempty"`
 	AllowedMS   int64    `cbor:"16,keyasint,omitempty"` // what the caller stated to wait at most
+	Begun       bool     `cbor:"17,keyasint,omitempty"` // the caller has the first part of the answer
 }
 
 // Run is a request that runs at an engine.
--- a/placement/core.go
+++ b/placement/core.go
@@ -139,7 +139,7 @@
 	}
 	wait := c.expectedWait(now, s, e)
 	s.recent.add(now, worth, c.pace.work(e, s.places()))
-	if now+wait+c.pace.least(e) > min(e.StartBy, e.Deadline) {
+	if !r.Begun && now+wait+c.pace.least(e) > min(e.StartBy, e.Deadline) {
 		delete(c.requests, r.ID)
 		c.refund(r.Workspace, r.Charge)
 		c.reject(now, e, ReasonOverload, retryTime(wait), wait)
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -370,3 +370,38 @@
 	}
 	is.True(answered >= 120) // of about 150 that came once the cause was gone
 }
+
+// Guards against a stream that has begun and is broken off, since the place to go on with is refused for
+// overload or quota, or comes after new requests.
+func TestBegunStreamGoesFirst(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetEngines([]Engine{testEngine("e", 1)})
+	c.SetQuotas(0, []Limit{{Workspace: "w", Rate: 1, Burst: 100, Window: 8 * time.Second}})
+	c.Charge(0, "w", 1000) // used up
+	for i := range 40 {
+		r := testRequest(fmt.Sprint("new", i))
+		r.Output = 20
+		c.Arrive(0, r)
+	}
+	grants, _ := c.Decide(0)
+	is.Equal(len(grants), 1)
+	begun := testRequest("begun")
+	begun.Workspace, begun.Begun, begun.Output, begun.Prompt = "w", true, 3000, 20000
+	begun.Objective = -time.Second // long past
+	c.Arrive(0, begun)
+	_, rejections := c.Decide(0)
+	for _, r := range rejections {
+		is.True(r.Request != "begun")
+	}
+	for now := 50 * time.Millisecond; now < time.Second; now += 50 * time.Millisecond {
+		_, rejections = c.Decide(now) // it stays while others are found hopeless
+		for _, r := range rejections {
+			is.True(r.Request != "begun")
+		}
+	}
+	c.End(time.Second, grants[0].Request, OutcomeAnswered, 10)
+	grants, _ = c.Decide(time.Second)
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].Request, RequestID("begun"))
+}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -44,6 +44,7 @@
 	Deadline   time.Duration // the answer is of no use afterwards
 	Allowed    time.Duration // what the caller stated to wait at most, whatever its route allows; 0 means unknown
 	Excluded   []string      // engines that failed this request
+	Begun      bool          // the caller has the first part of the answer
 }
 
 // Grant gives a request a place.
--- a/placement/order.go
+++ b/placement/order.go
@@ -13,6 +13,9 @@
 	// lateValue is what an answer that is late is worth in relation to one that is on time. The users
 	// value it at three tenths.
 	lateValue = 0.3
+	// begunValue is what an answer that its caller has in part is worth in relation to a new one. It goes
+	// before almost all others, as its caller leaves after eight pauses of the length that is on time.
+	begunValue = 100
 	// uselessValue is what a place is worth to a request that most likely can't end in time there. It
 	// is used when nothing else can use the place.
 	uselessValue = 0.02
@@ -54,6 +57,9 @@
 	size := k.relativeSize(e)
 	e.class = class(size)
 	worth := math.Pow(tierValue, float64(e.Tier)) * sizeWorth(size) * k.shares.raise(e.class)
+	if e.Begun {
+		worth *= begunValue
+	}
 	e.density = worth / math.Pow((c.pace.work(e, s.places())+minimalWork).Seconds(), workPower)
 }
 
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -94,7 +94,7 @@
 			}
 			return d
 		})
-		if float64(wait) <= reviewMargin*float64(min(e.StartBy, e.Deadline)-now-c.pace.least(e)) {
+		if e.Begun || float64(wait) <= reviewMargin*float64(min(e.StartBy, e.Deadline)-now-c.pace.least(e)) {
 			return "", 0
 		}
 		return ReasonOverload, wait
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -95,8 +95,8 @@
 // spend takes a charge from the quota of a workspace, or returns the time until there is enough.
 func (c *Core) spend(now time.Duration, workspace string, charge float64) (wait time.Duration, ok bool) {
 	q := c.quotas[workspace]
-	if q == nil {
-		return 0, true
+	if q == nil || charge <= 0 {
+		return 0, true // Nothing is charged for a request that is sent again.
 	}
 	c.refill(now, q)
 	// A request larger than the burst passes when the bucket is full.
