--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -400,6 +400,9 @@
 			is.True(r.Request != "begun")
 		}
 	}
+	short := testRequest("short")
+	short.Arrived, short.Objective, short.StartBy, short.Deadline = time.Second, 2*time.Second, 4*time.Second, 11*time.Second
+	c.Arrive(time.Second, short)
 	c.End(time.Second, grants[0].Request, OutcomeAnswered, 10)
 	grants, _ = c.Decide(time.Second)
 	is.Equal(len(grants), 1)
