Share the loop of event-driven duties, the draining of rings and the options of both roles

Cause: allocator and placer had the same loop over events and a timer, and the replica drained its rings with the same lines; core, edge and the command each had a type for the same four options, and both roles built the same link.

Change: duty.Loop, ring.Drain, fleet.Options with NewLink. Behaviour stays: the timer is set with the same pause before each wait.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
+	"github.com/primrosebeam/primrosebeam/internal/duty"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/placement"
@@ -130,22 +131,13 @@
 func (a *Allocator) Run(ctx context.Context) error {
 	a.core.SetScope(a.options.DataCentre)
 	a.settleUntil = clock() + settleTime
-	timer := time.NewTimer(tickInterval)
-	defer timer.Stop()
-	for {
-		timer.Reset(a.nextTick())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-a.events.Ready():
-		case <-timer.C:
-		}
+	return duty.Loop(ctx, a.events.Ready(), a.nextTick, func() {
 		now := clock()
-		a.takeEvents(now)
+		a.events.Drain(func(e event) { a.take(now, &e) })
 		a.forgetOwners(now)
 		a.decide(now)
 		a.send()
-	}
+	})
 }
 
 // nextTick avoids wake-ups while nothing waits.
@@ -158,22 +150,16 @@
 
 func clock() time.Duration { return time.Duration(boottime.Now()) }
 
-func (a *Allocator) takeEvents(now time.Duration) {
-	for range a.events.Cap() {
-		e, ok := a.events.TryTake()
-		if !ok {
-			return
-		}
-		switch {
-		case e.update != nil:
-			a.update(now, e.from, e.update)
-		case e.engines != nil:
-			a.core.SetEngines(e.engines)
-		case e.limits != nil:
-			a.core.SetQuotas(now, e.limits)
-		case e.role != nil:
-			a.setRole(now, *e.role)
-		}
+func (a *Allocator) take(now time.Duration, e *event) {
+	switch {
+	case e.update != nil:
+		a.update(now, e.from, e.update)
+	case e.engines != nil:
+		a.core.SetEngines(e.engines)
+	case e.limits != nil:
+		a.core.SetQuotas(now, e.limits)
+	case e.role != nil:
+		a.setRole(now, *e.role)
 	}
 }
 
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -15,6 +15,7 @@
 
 	"github.com/primrosebeam/primrosebeam/internal/core"
 	"github.com/primrosebeam/primrosebeam/internal/edge"
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/logging"
 	"github.com/primrosebeam/primrosebeam/platform"
 )
@@ -27,27 +28,19 @@
 // duty is a process of the platform: it runs until its context ends, then stops gracefully.
 type duty interface{ Run(context.Context) error }
 
-// platformProcess is what both roles start from.
-type platformProcess struct {
-	settings *platform.Settings
-	key      []byte
-	logger   zerolog.Logger
-	metrics  *metrics.Set
-}
-
 func runEdge(args []string, stdout, stderr io.Writer) int {
-	return runOnPlatform("edge", args, stdout, stderr, func(p platformProcess) (duty, error) {
-		return edge.New(edge.Options{Settings: p.settings, SharedKey: p.key, Logger: p.logger, Metrics: p.metrics})
+	return runOnPlatform("edge", args, stdout, stderr, func(o fleet.Options) (duty, error) {
+		return edge.New(o)
 	})
 }
 
 func runCore(args []string, stdout, stderr io.Writer) int {
-	return runOnPlatform("core", args, stdout, stderr, func(p platformProcess) (duty, error) {
-		return core.New(core.Options{Settings: p.settings, SharedKey: p.key, Logger: p.logger, Metrics: p.metrics})
+	return runOnPlatform("core", args, stdout, stderr, func(o fleet.Options) (duty, error) {
+		return core.New(o)
 	})
 }
 
-func runOnPlatform(role string, args []string, stdout, stderr io.Writer, build func(platformProcess) (duty, error)) int {
+func runOnPlatform(role string, args []string, stdout, stderr io.Writer, build func(fleet.Options) (duty, error)) int {
 	flags := flag.NewFlagSet(role, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	keyFile := flags.String("shared-key", "", "file with the key that authenticates instances to each other")
@@ -77,7 +70,7 @@
 	logger, writer := logging.New(stdout, set, threshold)
 	defer writer.Close()
 	logger = logger.With().Str("instance", settings.Name).Str("dataCentre", settings.DataCentre).Logger()
-	process, err := build(platformProcess{settings: settings, key: []byte(key), logger: logger, metrics: set})
+	process, err := build(fleet.Options{Settings: settings, SharedKey: []byte(key), Logger: logger, Metrics: set})
 	if err != nil {
 		logger.Error().Err(err).Msg("not started")
 		return ExitFailed
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,9 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
-
 	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/allocator"
 	"github.com/primrosebeam/primrosebeam/internal/directory"
@@ -42,12 +39,7 @@
 )
 
 // Options configure a Core.
-type Options struct {
-	Settings  *platform.Settings
-	SharedKey []byte
-	Logger    zerolog.Logger
-	Metrics   *metrics.Set
-}
+type Options = fleet.Options
 
 // Core is the process of a control instance.
 type Core struct {
@@ -75,12 +67,7 @@
 		default:
 		}
 	})
-	node, err := link.New(link.Options{
-		Name: c.name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		SharedKey: o.SharedKey, ListenAddress: s.Links, MaxFrameBytes: maxFrameBytes,
-		Resolve: fleet.Resolver(s.LinkAddress),
-		Logger:  o.Logger, Metrics: o.Metrics,
-	})
+	node, err := o.NewLink(maxFrameBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/duty/group.go
+++ b/internal/duty/group.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Group runs duties under one context, which does not end with the context that it was made from: a
@@ -38,6 +39,23 @@
 	})
 }
 
+// Loop calls step after each signal of ready, and at the latest after the pause that next returns, until
+// ctx ends.
+func Loop(ctx context.Context, ready <-chan struct{}, next func() time.Duration, step func()) error {
+	timer := time.NewTimer(next())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ready:
+		case <-timer.C:
+		}
+		step()
+		timer.Reset(next())
+	}
+}
+
 // Failures delivers the first failure.
 func (g *Group) Failures() <-chan error { return g.failures }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,9 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
-
 	"github.com/primrosebeam/primrosebeam/internal/directory"
 	"github.com/primrosebeam/primrosebeam/internal/duty"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
@@ -42,12 +39,7 @@
 )
 
 // Options configure an Edge.
-type Options struct {
-	Settings  *platform.Settings
-	SharedKey []byte
-	Logger    zerolog.Logger
-	Metrics   *metrics.Set
-}
+type Options = fleet.Options
 
 // Edge is the process of an entry instance.
 type Edge struct {
@@ -74,12 +66,7 @@
 		options: o, balancer: placement.NewBalancer(s.DataCentre), transport: newTransport(),
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
-	node, err := link.New(link.Options{
-		Name: s.Address.String(), DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
-		SharedKey: o.SharedKey, ListenAddress: s.Links, MaxFrameBytes: maxFrameBytes,
-		Resolve: fleet.Resolver(s.LinkAddress),
-		Logger:  o.Logger, Metrics: o.Metrics,
-	})
+	node, err := o.NewLink(maxFrameBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
+	"github.com/primrosebeam/primrosebeam/internal/duty"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/placement"
@@ -181,22 +182,13 @@
 // Run serves until ctx ends.
 func (p *placer) Run(ctx context.Context) error {
 	defer p.events.Close()
-	timer := time.NewTimer(heartbeat)
-	defer timer.Stop()
-	for {
-		timer.Reset(p.nextTick())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-p.events.Ready():
-		case <-timer.C:
-		}
+	return duty.Loop(ctx, p.events.Ready(), p.nextTick, func() {
 		now := clock()
-		p.takeEvents(now)
+		p.events.Drain(func(e placerEvent) { p.take(now, &e) })
 		p.chooseAllocator(now)
 		p.flush(now)
 		p.decideHere(now)
-	}
+	})
 }
 
 func (p *placer) nextTick() time.Duration {
@@ -208,16 +200,6 @@
 
 func (p *placer) allocator() string { return *p.target.Load() }
 
-func (p *placer) takeEvents(now time.Duration) {
-	for range p.events.Cap() {
-		e, ok := p.events.TryTake()
-		if !ok {
-			return
-		}
-		p.take(now, &e)
-	}
-}
-
 func (p *placer) take(now time.Duration, e *placerEvent) {
 	switch e.kind {
 	case eventArrive:
--- /dev/null
+++ b/internal/fleet/options.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/platform"
+)
+
+// Options are what a process of either role starts from.
+type Options struct {
+	Settings  *platform.Settings
+	SharedKey []byte
+	Logger    zerolog.Logger
+	Metrics   *metrics.Set
+}
+
+// NewLink builds the process's end of the links between instances. An instance is named by the address
+// of its machine, which is unique and tells others where to connect.
+func (o *Options) NewLink(maxFrameBytes int) (*link.Node, error) {
+	s := o.Settings
+	return link.New(link.Options{
+		Name: s.Address.String(), DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
+		SharedKey: o.SharedKey, ListenAddress: s.Links, MaxFrameBytes: maxFrameBytes,
+		Resolve: o.resolve,
+		Logger:  o.Logger, Metrics: o.Metrics,
+	})
+}
+
+func (o *Options) resolve(name string) (string, bool) {
+	if _, err := netip.ParseAddr(name); err != nil {
+		return "", false
+	}
+	return o.Settings.LinkAddress(name), true
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -173,22 +173,18 @@
 }
 
 func (r *Replica) takeMessages() {
-	for range r.messages.Cap() {
-		in, ok := r.messages.TryTake()
-		if !ok {
-			return
-		}
+	r.messages.Drain(func(in received) {
 		if r.failure != nil {
-			continue
+			return
 		}
 		if in.from != in.message.From.Instance {
 			r.refuse(in, &consensus.UnknownSenderError{From: in.message.From, Kind: in.message.Kind})
-			continue
+			return
 		}
 		if err := r.node.Step(in.message); err != nil {
 			r.refuse(in, err)
 		}
-	}
+	})
 }
 
 func (r *Replica) refuse(in received, err error) {
@@ -198,13 +194,7 @@
 
 func (r *Replica) takeCalls() {
 	var batch []*call
-	for range r.calls.Cap() {
-		c, ok := r.calls.TryTake()
-		if !ok {
-			break
-		}
-		batch = append(batch, c)
-	}
+	r.calls.Drain(func(c *call) { batch = append(batch, c) })
 	r.accept(batch)
 }
 
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -13,6 +13,13 @@
 	return Engine{ID: id, Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Places: places}
 }
 
+// testRequestAt returns a request that arrives at a time, with the time as its ID.
+func testRequestAt(now time.Duration) Request {
+	r := testRequest(fmt.Sprint(now))
+	r.Arrived, r.Objective, r.StartBy, r.Deadline = now, now+time.Second, now+3*time.Second, now+10*time.Second
+	return r
+}
+
 func testRequest(id string) Request {
 	return Request{
 		ID: RequestID(id), Owner: "edge", DataCentre: "a", Service: "s", Prompt: 100, Output: 10, OutputMost: 100,
@@ -321,12 +328,8 @@
 	c := New()
 	c.SetEngines([]Engine{testEngine("a", 4), testEngine("b", 4), testEngine("c", 4), testEngine("d", 4)})
 	failed := map[string]int{}
-	id := 0
 	for now := time.Duration(0); now < 2*time.Second; now += 5 * time.Millisecond {
-		r := testRequest(fmt.Sprint(id))
-		id++
-		r.Arrived, r.Objective, r.StartBy, r.Deadline = now, now+time.Second, now+3*time.Second, now+10*time.Second
-		c.Arrive(now, r)
+		c.Arrive(now, testRequestAt(now))
 		grants, _ := c.Decide(now)
 		for _, g := range grants {
 			if g.Engine.ID < "c" { // c and d are busy for the rest of the test
@@ -352,12 +355,8 @@
 	c := New()
 	c.SetEngines([]Engine{testEngine("a", 4), testEngine("b", 4), testEngine("c", 4), testEngine("d", 4)})
 	answered := 0
-	id := 0
 	for now := time.Duration(0); now < 6*time.Second; now += 20 * time.Millisecond {
-		r := testRequest(fmt.Sprint(id))
-		id++
-		r.Arrived, r.Objective, r.StartBy, r.Deadline = now, now+time.Second, now+3*time.Second, now+10*time.Second
-		c.Arrive(now, r)
+		c.Arrive(now, testRequestAt(now))
 		grants, _ := c.Decide(now)
 		for _, g := range grants {
 			if now < 3*time.Second {
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -65,6 +65,18 @@
 	return r.pop()
 }
 
+// Drain takes what waits, oldest first, but no more than fits in the ring: under steady additions its
+// caller still gets to its other work.
+func (r *Ring[T]) Drain(take func(T)) {
+	for range r.Cap() {
+		v, ok := r.TryTake()
+		if !ok {
+			return
+		}
+		take(v)
+	}
+}
+
 // Take removes the oldest item, waiting for one. It returns the context's error when ctx ends first,
 // and *ClosedError when the ring is closed and empty.
 func (r *Ring[T]) Take(ctx context.Context) (T, error) {
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -33,3 +33,19 @@
 	_, err = r.Take(context.Background())
 	is.True(errors.As(err, &closed))
 }
+
+// Guards against a drain that never ends while items are added, and one that changes their order.
+func TestDrainIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := ring.New[int](4)
+	for i := range 3 {
+		is.NoErr(r.Offer(i))
+	}
+	var taken []int
+	r.Drain(func(i int) {
+		taken = append(taken, i)
+		is.NoErr(r.Offer(i + 3)) // an item is added for each that is taken
+	})
+	is.Equal(taken, []int{0, 1, 2, 3})
+	is.Equal(r.Len(), 3)
+}
