--- a/placement/engine.go
+++ b/placement/engine.go
@@ -24,7 +24,7 @@
 	failurePause = 3 * time.Second
 	// pacedAfter is the number of failures in a row after which an engine that may not rest is paced: it
 	// gets one run at a time with a pause of pacingPause after each failure, until it answers. One that
-	// fails at once would draw all that waits: in a run of the users' days six such engines failed 1,050
+	// fails at once would draw all that waits: in a run of the users' days six such engines failed 1,022
 	// requests within a second. An engine that loses half of its answers has so long a row once in 64.
 	pacedAfter  = 6
 	pacingPause = 300 * time.Millisecond
