Send no request to an engine that states it is leaving or asks for a rest

Cause: an engine that shuts down says so in its responses (Server-Leaving) before the list does, and an engine that refuses with 503 and Retry-After wants no requests from that instance for so long.

Change: placement.Notices holds what engines state to one instance; the balancer and every grant are checked against it right before the send. The allocator learns of both with the updates of the instance that received the response (also in full updates, so after a change of allocator), stops granting, and tells the other instances of leaving engines with its next decisions. A rest binds one pair of instance and engine. Requests that can't outlive the rests of all engines are rejected at once with the time to return.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -49,6 +49,7 @@
 	events  *ring.Ring[event]
 
 	core              *placement.Core
+	notices           *placement.Notices // leaving engines that entry instances reported
 	owners            map[string]*owner
 	leads             bool
 	grantsPausedUntil time.Duration
@@ -91,6 +92,7 @@
 		options:  o,
 		events:   ring.New[event](ringCapacity),
 		core:     placement.New(),
+		notices:  placement.NewNotices(),
 		owners:   map[string]*owner{},
 		granted:  o.Metrics.NewCounter("primrosebeam_placement_grants_total"),
 		rejected: o.Metrics.NewCounter("primrosebeam_placement_rejections_total"),
@@ -161,7 +163,7 @@
 	case e.update != nil:
 		a.handleUpdate(now, e.from, e.update)
 	case e.engines != nil:
-		a.core.SetEngines(e.engines)
+		a.core.SetEngines(a.notices.Apply(now, e.engines))
 	case e.limits != nil:
 		a.core.SetQuotas(now, e.limits)
 	case e.role != nil:
@@ -220,11 +222,33 @@
 	o.received, o.synced = u.Sequence, true
 	decisions.LastUpdate = u.Sequence
 	if u.Full {
+		decisions.Leaving = a.notices.Leaving()
 		a.reconcile(now, o, u)
 	}
+	a.applyNotices(now, o, u)
 	a.apply(now, o, u)
 }
 
+// applyNotices records what engines have stated to an entry instance. Leaving engines are reported to the
+// other entry instances with their next decisions.
+func (a *Allocator) applyNotices(now time.Duration, from *owner, u *fleet.Update) {
+	for _, engine := range u.Leaving {
+		if !a.notices.RecordLeaving(now, engine) {
+			continue
+		}
+		a.core.MarkLeaving(engine)
+		a.options.Logger.Info().Str("engine", engine).Str("peer", from.name).Msg("engine states that it is leaving")
+		for _, o := range a.owners {
+			if o != from {
+				o.pendingDecisions().Leaving = append(o.pendingDecisions().Leaving, engine)
+			}
+		}
+	}
+	for _, rest := range u.Rests {
+		a.core.Rest(now, now+time.Duration(rest.LeftMS)*time.Millisecond, from.name, rest.Engine)
+	}
+}
+
 // reconcile makes the requests that the core holds for an owner match a full update.
 func (a *Allocator) reconcile(now time.Duration, o *owner, u *fleet.Update) {
 	reported := make(map[placement.RequestID]bool, len(u.Arrivals)+len(u.Runs))
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -39,6 +39,7 @@
 		joined.LastUpdate = d.LastUpdate
 		joined.Grants = append(joined.Grants, d.Grants...)
 		joined.Rejections = append(joined.Rejections, d.Rejections...)
+		joined.Leaving = append(joined.Leaving, d.Leaving...)
 	}
 	delete(c.sent, to)
 	return joined
@@ -185,3 +186,42 @@
 	is.Equal(len(decisions.Rejections), 75)
 	is.Equal(decisions.Rejections[0].Reason, placement.ReasonQuota)
 }
+
+// TestLeavingNoticeReachesOtherInstances guards against instances that send new requests to an engine which
+// stated to another instance that it is leaving, against an instance that starts later and does not learn
+// of it, and against a list of engines that reverts the notice.
+func TestLeavingNoticeReachesOtherInstances(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(4)
+	first, second, third := sender("first", 1), sender("second", 1), sender("third", 1)
+	a.deliver(1, first, fleet.Update{Sequence: 1, Full: true})
+	a.deliver(1, second, fleet.Update{Sequence: 1, Full: true})
+	out.take("first")
+	out.take("second")
+	a.deliver(2, first, fleet.Update{Sequence: 2, Leaving: []string{"e"}, Arrivals: []fleet.Request{waitingRequest(1)}})
+	is.Equal(len(out.take("first").Grants), 0)
+	is.Equal(out.take("second").Leaving, []string{"e"})
+	a.deliver(3, second, fleet.Update{Sequence: 2, Leaving: []string{"e"}})
+	is.Equal(len(out.take("first").Leaving), 0) // known already
+	a.handle(4, &event{engines: []placement.Engine{{ID: "e", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 4}}})
+	a.deliver(5, third, fleet.Update{Sequence: 1, Full: true, Arrivals: []fleet.Request{waitingRequest(1)}})
+	decisions := out.take("third")
+	is.Equal(decisions.Leaving, []string{"e"})
+	is.Equal(len(decisions.Grants), 0)
+}
+
+// TestRestOfInstanceIsHonoured guards against slots granted to an instance on an engine that asked this
+// instance for a rest.
+func TestRestOfInstanceIsHonoured(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(4)
+	a.deliver(1, sender("resting", 1), fleet.Update{
+		Sequence: 1, Full: true, Rests: []fleet.Rest{{Engine: "e", LeftMS: 500}}, Arrivals: []fleet.Request{waitingRequest(1)},
+	})
+	a.deliver(1, sender("other", 1), fleet.Update{Sequence: 1, Full: true, Arrivals: []fleet.Request{waitingRequest(1)}})
+	is.Equal(len(out.take("resting").Grants), 0)
+	is.Equal(len(out.take("other").Grants), 1)
+	a.decide(501 * time.Millisecond)
+	a.send()
+	is.Equal(len(out.take("resting").Grants), 1)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,7 @@
 	control           *controlClient
 	placer            *placer
 	balancer          *placement.Balancer
+	notices           *placement.Notices
 	directory         *directory.Reader
 	retries           *retryBudget
 	transport         *http.Transport
@@ -65,9 +66,10 @@
 func New(o Options) (*Edge, error) {
 	s := o.Settings
 	e := &Edge{
-		options: o, balancer: placement.NewBalancer(s.DataCentre), transport: newTransport(),
+		options: o, notices: placement.NewNotices(), transport: newTransport(),
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
+	e.balancer = placement.NewBalancer(s.DataCentre, e.notices)
 	node, err := o.NewLink(maxFrameBytes)
 	if err != nil {
 		return nil, err
@@ -78,7 +80,7 @@
 		Logger: o.Logger, Metrics: o.Metrics,
 	})
 	e.control = newControlClient(o, node, e.directory, e.tableInstalled)
-	e.placer = newPlacer(o, node, e.control)
+	e.placer = newPlacer(o, node, e.control, e.notices, e.recordLeaving)
 	e.retries = newRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow, e.entryCount)
 	node.Handle(fleet.KindChanged, e.control.HandleChanged)
 	node.Handle(fleet.KindDecisions, e.placer.HandleDecisions)
@@ -89,7 +91,19 @@
 
 func (e *Edge) random() float64 { return rand.Float64() }
 
+// recordLeaving records that an engine has stated that it is leaving. source is the instance that reported
+// it, or empty if this instance received the response. It reports whether that was not known before.
+func (e *Edge) recordLeaving(engine, source string) bool {
+	if !e.notices.RecordLeaving(clock(), engine) {
+		return false
+	}
+	e.counters.leavingNotices.Inc()
+	e.options.Logger.Info().Str("engine", engine).Str("peer", source).Msg("engine states that it is leaving")
+	return true
+}
+
 func (e *Edge) enginesChanged(engines []placement.Engine) {
+	engines = e.notices.Apply(clock(), engines)
 	e.balancer.SetEngines(engines)
 	e.placer.post(placerEvent{kind: eventEngines, engines: engines})
 }
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -58,6 +58,8 @@
 type placerEvent struct {
 	kind      eventKind
 	ticket    *ticket
+	engine    string        // of eventLeaving and eventRest
+	until     time.Duration // end of the rest
 	outcome   placement.Outcome
 	tokens    int
 	charge    fleet.Charge
@@ -78,6 +80,8 @@
 	eventDecisions
 	eventEngines
 	eventQuotas
+	eventLeaving
+	eventRest
 )
 
 // placer is the worker that acquires slots for this instance's requests. It asks the leader's allocator,
@@ -88,6 +92,8 @@
 	dataCentre       string
 	allocators       func() []string
 	entryCount       func() int
+	notices          *placement.Notices
+	onLeaving        func(engine, source string) bool // must not block
 	logger           zerolog.Logger
 	events           *ring.Ring[placerEvent]
 	lastID           atomic.Uint64
@@ -115,9 +121,12 @@
 	delay time.Duration
 }
 
-func newPlacer(o Options, l link.Caller, control *controlClient) *placer {
+func newPlacer(
+	o Options, l link.Caller, control *controlClient, notices *placement.Notices, onLeaving func(engine, source string) bool,
+) *placer {
 	p := &placer{
 		link: l, name: control.name, dataCentre: control.dataCentre, allocators: control.allocators,
+		notices: notices, onLeaving: onLeaving,
 		entryCount: func() int { return int(control.entryCount.Load()) },
 		logger:     o.Logger,
 		events:     ring.New[placerEvent](eventCapacity),
@@ -156,6 +165,14 @@
 	p.post(placerEvent{kind: eventCharge, charge: fleet.Charge{Workspace: workspace, Amount: amount}})
 }
 
+// Leaving reports that an engine has stated that it is leaving.
+func (p *placer) Leaving(engine string) { p.post(placerEvent{kind: eventLeaving, engine: engine}) }
+
+// Rest reports that an engine wants no requests from this instance before the given time.
+func (p *placer) Rest(engine string, until time.Duration) {
+	p.post(placerEvent{kind: eventRest, engine: engine, until: until})
+}
+
 // IsExhausted reports whether the quota of a workspace is used up.
 func (p *placer) IsExhausted(workspace string) bool {
 	return slices.Contains(*p.exhausted.Load(), workspace)
@@ -223,6 +240,12 @@
 		p.setLocalEngines()
 	case eventQuotas:
 		p.local.SetQuotas(now, e.limits)
+	case eventLeaving:
+		p.pendingUpdate().Leaving = append(p.pendingUpdate().Leaving, e.engine)
+		p.local.MarkLeaving(e.engine)
+	case eventRest:
+		p.pendingUpdate().Rests = append(p.pendingUpdate().Rests, newFleetRest(now, e.engine, e.until))
+		p.local.Rest(now, e.until, "", e.engine)
 	}
 }
 
@@ -284,6 +307,10 @@
 		p.unansweredSince = now
 	}
 	p.exhausted.Store(&decisions.ExhaustedWorkspaces)
+	for _, engine := range decisions.Leaving {
+		p.local.MarkLeaving(engine)
+		p.onLeaving(engine, from)
+	}
 	for i := range decisions.Grants {
 		p.grant(now, decisions.Grants[i].ID, slotDecision{
 			engine: decisions.Grants[i].Engine, running: decisions.Grants[i].Running, allocator: from,
@@ -389,7 +416,10 @@
 }
 
 func (p *placer) fullUpdate(now time.Duration) *fleet.Update {
-	u := &fleet.Update{Full: true, Charges: p.pendingUpdate().Charges}
+	u := &fleet.Update{Full: true, Charges: p.pendingUpdate().Charges, Leaving: p.notices.Leaving()}
+	for engine, until := range p.notices.Rests(now) {
+		u.Rests = append(u.Rests, newFleetRest(now, engine, until))
+	}
 	for _, t := range p.tickets {
 		if t.engine == "" {
 			u.Arrivals = append(u.Arrivals, newFleetRequest(now, t))
@@ -407,6 +437,10 @@
 	}
 }
 
+func newFleetRest(now time.Duration, engine string, until time.Duration) fleet.Rest {
+	return fleet.Rest{Engine: engine, LeftMS: (until - now).Milliseconds()}
+}
+
 func newFleetRequest(now time.Duration, t *ticket) fleet.Request {
 	r := &t.request
 	return fleet.Request{
--- /dev/null
+++ b/internal/edge/placer_test.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/internal/fleet"
+	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/placement"
+)
+
+// updateRecorder stores the updates that a placer sends, by allocator.
+type updateRecorder struct{ sent map[string][]*fleet.Update }
+
+func (r *updateRecorder) Send(to string, _ link.Kind, body any) error {
+	r.sent[to] = append(r.sent[to], body.(*fleet.Update))
+	return nil
+}
+
+func (r *updateRecorder) Call(context.Context, string, link.Kind, any, any) error { return nil }
+
+func (r *updateRecorder) last(to string) *fleet.Update {
+	updates := r.sent[to]
+	if len(updates) == 0 {
+		return nil
+	}
+	return updates[len(updates)-1]
+}
+
+// newTestPlacer returns a placer that uses the given allocators in order. Its worker does not run.
+func newTestPlacer(t *testing.T, allocators ...string) (*placer, *updateRecorder) {
+	t.Helper()
+	out := &updateRecorder{sent: map[string][]*fleet.Update{}}
+	control := newTestControlClient(t, &controlStub{}, "10.0.0.1:1")
+	notices := placement.NewNotices()
+	p := newPlacer(Options{Logger: zerolog.Nop(), Metrics: metrics.NewSet()}, out, control, notices,
+		func(engine, _ string) bool { return notices.RecordLeaving(0, engine) })
+	p.allocators = func() []string { return allocators }
+	return p, out
+}
+
+// step runs one round of the worker.
+func (p *placer) step(now time.Duration) {
+	p.events.Drain(func(e placerEvent) { p.handleEvent(now, &e) })
+	p.chooseAllocator(now)
+	p.flush(now)
+	p.decideLocally(now)
+}
+
+// TestNoticesSurviveChangeOfAllocator guards against an allocator that does not know what engines stated to
+// an instance before it became the instance's allocator, and against the same gap while no allocator is
+// reachable.
+func TestNoticesSurviveChangeOfAllocator(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t, "first", "second")
+	engines := []placement.Engine{
+		{ID: "leaving", Service: "s", Address: "10.0.0.1:1", Slots: 4}, {ID: "resting", Service: "s", Address: "10.0.0.2:1", Slots: 4},
+	}
+	p.post(placerEvent{kind: eventEngines, engines: engines})
+	p.step(0)
+	p.notices.RecordLeaving(0, "leaving")
+	p.Leaving("leaving")
+	p.Rest("resting", p.notices.RecordRest(0, "resting", 3*time.Second))
+	p.step(time.Millisecond)
+	for _, u := range []*fleet.Update{out.last("first")} {
+		is.Equal(u.Leaving, []string{"leaving"})
+		is.Equal(len(u.Rests), 1)
+		is.Equal(u.Rests[0].Engine, "resting")
+	}
+	p.step(replyTimeout + 2*time.Millisecond) // the first allocator does not reply
+	u := out.last("second")
+	is.True(u != nil && u.Full)
+	is.Equal(u.Leaving, []string{"leaving"})
+	is.Equal(u.Rests, []fleet.Rest{{Engine: "resting", LeftMS: 2648}})
+
+	p.allocators = func() []string { return nil }
+	p.step(time.Second)
+	is.Equal(p.allocator(), "")
+	ticket, err := p.Submit(placement.Request{
+		Service: "s", PromptTokens: 1, FirstEventDue: 2 * time.Second, FirstEventDeadline: 9 * time.Second, Deadline: 9 * time.Second,
+	})
+	is.NoErr(err)
+	p.step(2 * time.Second)
+	is.Equal(len(ticket.decision), 0)
+	p.step(3 * time.Second)
+	is.Equal(len(ticket.decision), 1)
+	is.Equal((<-ticket.decision).engine.ID, "resting")
+}
+
+// TestLeavingNoticeOfAllocatorIsFollowed guards against new requests to an engine that stated to another
+// instance that it is leaving.
+func TestLeavingNoticeOfAllocatorIsFollowed(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPlacer(t, "allocator")
+	p.step(0)
+	p.post(placerEvent{kind: eventDecisions, from: "allocator", decisions: &fleet.Decisions{Sequence: 1, Leaving: []string{"e"}}})
+	p.step(time.Millisecond)
+	is.True(!p.notices.MayUse(time.Millisecond, "e"))
+}
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -32,6 +32,9 @@
 	set              *metrics.Set
 	retries          *metrics.Counter
 	foreignResponses *metrics.Counter
+	leavingNotices   *metrics.Counter
+	rests            *metrics.Counter
+	unsentGrants     *metrics.Counter
 	firstEvent       *metrics.Histogram
 	queue            *metrics.Histogram
 	outcomes         sync.Map // *metrics.Counter by reason; the set of reasons is fixed
@@ -42,6 +45,9 @@
 		set:              set,
 		retries:          set.NewCounter("primrosebeam_resends_total"),
 		foreignResponses: set.NewCounter("primrosebeam_foreign_answers_total"),
+		leavingNotices:   set.NewCounter("primrosebeam_engine_leaving_notices_total"),
+		rests:            set.NewCounter("primrosebeam_engine_rests_total"),
+		unsentGrants:     set.NewCounter("primrosebeam_unsent_grants_total"),
 		firstEvent:       set.NewHistogram("primrosebeam_first_event_seconds"),
 		queue:            set.NewHistogram("primrosebeam_queue_seconds"),
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.timeLeft())
 	defer cancel()
 	for {
-		acquired, ok := x.acquireSlot(ctx)
+		acquired, ok := x.acquireUsableSlot(ctx)
 		if !ok {
 			return
 		}
@@ -114,6 +114,25 @@
 	end        func(outcome placement.Outcome, tokens int) // releases the slot
 }
 
+// maxUnsentGrants is the number of slots that a request may return because of notices of their engines that
+// arrived after the slots were granted.
+const maxUnsentGrants = 8
+
+// acquireUsableSlot acquires a slot on an engine that has not stated in the meantime that it is leaving or
+// wants no requests from this instance. It returns false like acquireSlot.
+func (x *exchange) acquireUsableSlot(ctx context.Context) (slot, bool) {
+	for range maxUnsentGrants {
+		acquired, ok := x.acquireSlot(ctx)
+		if !ok || x.edge.notices.MayUse(clock(), acquired.engine.ID) {
+			return acquired, ok
+		}
+		acquired.end(placement.OutcomeUnused, 0)
+		x.edge.counters.unsentGrants.Inc()
+	}
+	x.finishUnplaced(reason(placement.ReasonNoEngine), notReadyRetry)
+	return slot{}, false
+}
+
 // acquireSlot waits for a slot. It returns false if there is none; it has then sent the final response to the
 // caller.
 func (x *exchange) acquireSlot(ctx context.Context) (slot, bool) {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -52,6 +52,7 @@
 		return x.classifyTransportError(written.Load(), watch)
 	}
 	defer response.Body.Close()
+	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting)
 	}
@@ -65,6 +66,30 @@
 	return x.relayComplete(response, watch)
 }
 
+// recordNotices records what the engine states about itself in the header of any response: that it is leaving,
+// or that it wants no requests from this instance for some time. Statements of another engine at the same
+// address are ignored.
+func (x *exchange) recordNotices(r *http.Response, engine placement.Engine) {
+	if id := r.Header.Get(platform.HeaderEngine); id != "" && id != engine.ID {
+		return
+	}
+	if platform.IsLeaving(r.Header) && x.edge.recordLeaving(engine.ID, "") {
+		x.edge.placer.Leaving(engine.ID)
+	}
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	rest, ok := platform.ParseRetryAfter(r.Header)
+	if !ok {
+		return
+	}
+	until := x.edge.notices.RecordRest(clock(), engine.ID, rest)
+	x.edge.balancer.ReportRest(engine.ID)
+	x.edge.placer.Rest(engine.ID, until)
+	x.edge.counters.rests.Inc()
+	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Dur("rest", rest).Msg("engine asked for a rest")
+}
+
 // engineRequest builds the request for an engine. written becomes true when a byte of it may have been sent.
 func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, *atomic.Bool, error) {
 	written := &atomic.Bool{}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -92,6 +92,14 @@
 	Ends        []End     `cbor:"8,keyasint,omitempty"`
 	Charges     []Charge  `cbor:"9,keyasint,omitempty"`
 	Answered    uint64    `cbor:"10,keyasint,omitempty"` // sequence number of the last Decisions received
+	Leaving     []string  `cbor:"11,keyasint,omitempty"` // IDs of engines that stated that they are leaving
+	Rests       []Rest    `cbor:"12,keyasint,omitempty"`
+}
+
+// Rest reports that an engine wants no requests from the sender for some time.
+type Rest struct {
+	Engine string `cbor:"1,keyasint"`
+	LeftMS int64  `cbor:"2,keyasint"` // remaining time at the creation of the update
 }
 
 // Request is a request as its entry instance reports it. Durations are relative to the creation of the
@@ -144,6 +152,7 @@
 	Grants              []Grant     `cbor:"4,keyasint,omitempty"`
 	Rejections          []Rejection `cbor:"5,keyasint,omitempty"`
 	ExhaustedWorkspaces []string    `cbor:"6,keyasint,omitempty"` // workspaces without remaining quota
+	Leaving             []string    `cbor:"7,keyasint,omitempty"` // IDs of engines that stated that they are leaving
 }
 
 // Grant assigns a slot of an engine to a request.
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -15,6 +15,7 @@
 	dataCentre string
 	engines    map[string][]*backend // keyed by service
 	byID       map[string]*backend   // keyed by engine ID
+	notices    *Notices
 }
 
 // backend is the state of an engine as seen by this instance.
@@ -25,6 +26,7 @@
 	reportedAt     time.Duration // time of that report
 	suspendedUntil time.Duration
 	failureRate    float64 // decaying fraction of failed requests
+	probation      bool    // after a rest: one request at a time until the engine responds
 }
 
 const (
@@ -40,9 +42,12 @@
 	backendPause = 2 * time.Second
 )
 
-// NewBalancer returns a Balancer for an instance in the given data centre.
-func NewBalancer(dataCentre string) *Balancer {
-	return &Balancer{dataCentre: dataCentre, engines: map[string][]*backend{}, byID: map[string]*backend{}}
+// NewBalancer returns a Balancer for an instance in the given data centre. It selects only engines that the
+// notices allow.
+func NewBalancer(dataCentre string, notices *Notices) *Balancer {
+	return &Balancer{
+		dataCentre: dataCentre, engines: map[string][]*backend{}, byID: map[string]*backend{}, notices: notices,
+	}
 }
 
 // SetEngines replaces the list of engines. The state of engines that stay listed is kept.
@@ -66,7 +71,7 @@
 }
 
 // Pick selects the least loaded engine of a service and counts a request on it. It returns false if all
-// engines are excluded or leaving, or if there are none. The caller must call Done for each engine that
+// engines are excluded, leaving or resting, or if there are none. The caller must call Done for each engine that
 // Pick returned.
 func (b *Balancer) Pick(now time.Duration, service string, excluded []string) (Engine, bool) {
 	b.mu.Lock()
@@ -94,6 +99,9 @@
 		if e.Leaving || slices.Contains(excluded, e.ID) || !includeSuspended && now < e.suspendedUntil {
 			continue
 		}
+		if !b.notices.MayUse(now, e.ID) || e.probation && e.inFlight > 0 {
+			continue
+		}
 		load := (float64(e.inFlight) + e.decayedLoad(now)) / float64(e.Slots)
 		if e.DataCentre != b.dataCentre {
 			load += remotePenalty
@@ -125,6 +133,7 @@
 	e.inFlight = max(e.inFlight-1, 0)
 	switch outcome {
 	case OutcomeCompleted:
+		e.probation = false
 		e.failureRate -= e.failureRate / failureWindow
 	case OutcomeFailed:
 		e.failureRate += (1 - e.failureRate) / failureWindow
@@ -140,6 +149,16 @@
 	}
 }
 
+// ReportRest records that an engine has asked this instance for a rest. After the rest, which the notices
+// hold, the engine gets one request at a time until it responds.
+func (b *Balancer) ReportRest(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.byID[id]; e != nil {
+		e.probation = true
+	}
+}
+
 // ReportLoad records the total number of requests that an engine reported, including those of this
 // instance.
 func (b *Balancer) ReportLoad(now time.Duration, id string, requests int) {
--- a/placement/core.go
+++ b/placement/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -117,6 +118,39 @@
 	return s
 }
 
+// MarkLeaving records that an engine has stated that it is leaving. It gets no new requests.
+func (c *Core) MarkLeaving(engineID string) {
+	if e := c.engines[engineID]; e != nil {
+		e.Leaving = true
+	}
+}
+
+// Rest records that an engine wants no requests from an owner before the given time.
+func (c *Core) Rest(now, until time.Duration, owner, engineID string) {
+	if e := c.engines[engineID]; e != nil {
+		e.rest(now, until, owner)
+	}
+}
+
+// restEnd returns the time from which a request may be sent to an engine of the service, as far as rests are
+// concerned: now, or the end of the first rest if all engines that are not leaving rest for the owner.
+func (s *service) restEnd(now time.Duration, r *trackedRequest) time.Duration {
+	earliest := time.Duration(math.MaxInt64)
+	for _, e := range s.engines {
+		if e.Leaving {
+			continue
+		}
+		if !e.restsFor(now, r.Owner) {
+			return now
+		}
+		earliest = min(earliest, e.rests[r.Owner])
+	}
+	if earliest == math.MaxInt64 {
+		return now // there is no engine that could rest
+	}
+	return earliest
+}
+
 // Enqueue adds a new request to the queue, or rejects it if its quota is used up or if it would wait too
 // long. It ignores a request that is already known.
 func (c *Core) Enqueue(now time.Duration, r Request) {
@@ -141,7 +175,7 @@
 	} else {
 		stats.rates.arrive(tracked.sizeClass)
 	}
-	wait := c.expectedWait(now, s, tracked)
+	wait := max(c.expectedWait(now, s, tracked), s.restEnd(now, tracked)-now)
 	s.recentArrivals.add(now, density, c.latency.slotTime(tracked, s.slots()))
 	if !r.PartlyDelivered &&
 		now+wait+c.latency.minTimeToFirstEvent(tracked) > min(tracked.FirstEventDeadline, tracked.Deadline) {
@@ -338,7 +372,7 @@
 // expire rejects the waiting requests that can no longer be served in time.
 func (c *Core) expire(now time.Duration, s *service) {
 	c.rejectWaiting(now, s, func(_ int, r *trackedRequest) (Reason, time.Duration) {
-		if now+c.latency.minTimeToFirstEvent(r) <= min(r.FirstEventDeadline, r.Deadline) {
+		if s.restEnd(now, r)+c.latency.minTimeToFirstEvent(r) <= min(r.FirstEventDeadline, r.Deadline) {
 			return "", 0
 		}
 		return ReasonDeadline, c.expectedWait(now, s, r)
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -271,7 +271,7 @@
 // centre or failures.
 func TestBalancer(t *testing.T) {
 	is := is.New(t)
-	b := NewBalancer("a")
+	b := NewBalancer("a", NewNotices())
 	near, far := testEngine("near", 4), testEngine("far", 4)
 	far.DataCentre = "b"
 	b.SetEngines([]Engine{near, far})
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -56,6 +57,8 @@
 	throttled           bool // one request at a time, none before pausedUntil
 	pausedUntil         time.Duration
 	lastResponse        time.Duration // last time that a run delivered its first event or completed
+	// rests holds until when the engine wants no requests from an owner. Nil while there is none.
+	rests map[string]time.Duration
 }
 
 func newEngine(listed Engine) *engine { return &engine{Engine: listed, slowness: 1} }
@@ -140,6 +143,18 @@
 
 func (e *engine) suspend(now, d time.Duration) { e.suspendedUntil = max(e.suspendedUntil, now+d) }
 
+// restsFor reports whether the engine wants no requests from an owner now.
+func (e *engine) restsFor(now time.Duration, owner string) bool { return now < e.rests[owner] }
+
+// rest records that the engine wants no requests from an owner before the given time.
+func (e *engine) rest(now, until time.Duration, owner string) {
+	maps.DeleteFunc(e.rests, func(_ string, end time.Duration) bool { return now >= end })
+	if e.rests == nil {
+		e.rests = map[string]time.Duration{}
+	}
+	e.rests[owner] = max(e.rests[owner], until)
+}
+
 // pendingPromptTokens returns the number of prompt tokens of the runs that have not delivered a first
 // event.
 func (e *engine) pendingPromptTokens() float64 {
