--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -54,7 +54,7 @@
 	defer response.Body.Close()
 	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
-		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting)
+		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
 	}
 	if result, done := x.checkResponse(response, s.engine); done {
 		return result
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -16,6 +16,8 @@
 	engines    map[string][]*backend // keyed by service
 	byID       map[string]*backend   // keyed by engine ID
 	notices    *Notices
+	paceTTL    time.Duration // paceTTL, or another value in tests
+	paceWeight float64       // paceWeight, or another value in tests
 }
 
 // backend is the state of an engine as seen by this instance.
@@ -23,6 +25,7 @@
 	Engine
 	inFlight       int           // number of requests of this instance
 	otherLoad      float64       // number of requests of other instances, as last reported
+	pace           float64       // duration of work relative to the usual one, as last reported; 0 if never
 	reportedAt     time.Duration // time of that report
 	suspendedUntil time.Duration
 	failureRate    float64 // decaying fraction of failed requests
@@ -32,6 +35,12 @@
 const (
 	// reportedLoadTTL is the time in which a reported load decays linearly to zero.
 	reportedLoadTTL = 500 * time.Millisecond
+	// paceTTL is the time in which a reported pace decays linearly to the usual one. Engines share their
+	// machines, so that the pace changes several times per second.
+	paceTTL = 400 * time.Millisecond
+	// paceWeight is the weight of the reported pace in the load of an engine: an engine that takes twice as
+	// long counts as if this fraction of its slots were in use in addition.
+	paceWeight = 0.5
 	// remotePenalty is added to the load of engines in other data centres, as a fraction of their slots.
 	// Such an engine is preferred only if its load is lower by more than this.
 	remotePenalty = 0.25
@@ -47,6 +56,7 @@
 func NewBalancer(dataCentre string, notices *Notices) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, engines: map[string][]*backend{}, byID: map[string]*backend{}, notices: notices,
+		paceTTL: paceTTL, paceWeight: paceWeight,
 	}
 }
 
@@ -102,7 +112,7 @@
 		if !b.notices.MayUse(now, e.ID) || e.probation && e.inFlight > 0 {
 			continue
 		}
-		load := (float64(e.inFlight) + e.decayedLoad(now)) / float64(e.Slots)
+		load := (float64(e.inFlight)+e.decayedLoad(now))/float64(e.Slots) + b.paceWeight*e.decayedSlowdown(now, b.paceTTL)
 		if e.DataCentre != b.dataCentre {
 			load += remotePenalty
 		}
@@ -122,6 +132,16 @@
 	return e.otherLoad * (1 - float64(age)/float64(reportedLoadTTL))
 }
 
+// decayedSlowdown returns by how much longer than usual work takes according to the last report, decayed by
+// its age. It is negative for an engine that is faster than usual.
+func (e *backend) decayedSlowdown(now, ttl time.Duration) float64 {
+	age := now - e.reportedAt
+	if e.pace == 0 || age >= ttl {
+		return 0
+	}
+	return (e.pace - 1) * (1 - float64(age)/float64(ttl))
+}
+
 // Done records the end of a request for which Pick returned the engine with this ID.
 func (b *Balancer) Done(now time.Duration, id string, outcome Outcome) {
 	b.mu.Lock()
@@ -160,12 +180,13 @@
 }
 
 // ReportLoad records the total number of requests that an engine reported, including those of this
-// instance.
-func (b *Balancer) ReportLoad(now time.Duration, id string, requests int) {
+// instance, and the pace that it reported: how long work takes relative to the usual duration.
+func (b *Balancer) ReportLoad(now time.Duration, id string, requests int, pace float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e := b.byID[id]; e != nil {
 		e.otherLoad = max(float64(requests-e.inFlight), 0)
+		e.pace = pace
 		e.reportedAt = now
 	}
 }
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -283,7 +283,7 @@
 		return e.ID
 	}
 	is.Equal(pick(0), "near")
-	b.ReportLoad(0, "near", 4)
+	b.ReportLoad(0, "near", 4, 1)
 	is.Equal(pick(0), "far") // the near engine is full
 	is.Equal(pick(0, "near", "far"), "")
 	b.Done(0, "near", OutcomeUnreachable)
