Bound everything that is read from an engine on the platform's path

Change: the connection is closed when a response carries another ID; 64 KB limit the head and an event with the comments before it; bodies over 256 KB are relayed as they arrive; statuses without a final meaning are discarded. Lost ends of framed, unframed and HTTP/1.0 responses were sound already (TestTruncatedResponses).

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -87,8 +87,9 @@
 			return false
 		}
 	case resultFailed, resultIncomplete:
+		begun := x.headerSent && !x.isStream()
 		unnumbered := x.eventsSent > 0 && x.lastEventID == 0
-		if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || unnumbered {
+		if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || begun || unnumbered {
 			return false
 		}
 	default:
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -18,8 +18,13 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a plain response, which is buffered until it is complete.
+	// maxResponseBytes is the maximum size of a plain response.
 	maxResponseBytes = 8 << 20
+	// maxBufferedBytes is the size up to which a plain response is buffered until it is complete, so that
+	// another engine can be tried if it breaks off. A longer one is relayed as it arrives.
+	maxBufferedBytes = 256 << 10
+	// maxResponseHeaderBytes is the maximum size of the status line and the header of a response.
+	maxResponseHeaderBytes = 64 << 10
 	// responseTimeoutObjectives is the timeout of a send of an idempotent plain request, in multiples of the
 	// objective. After it the request is sent to another engine.
 	responseTimeoutObjectives = 4
@@ -39,7 +44,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.engine = s.engine.ID
-	request, written, err := x.engineRequest(ctx, s.engine)
+	request, connection, err := x.engineRequest(ctx, s.engine)
 	if err != nil {
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("building the request for the engine failed")
 		return resultFailed
@@ -49,7 +54,7 @@
 	response, err := x.edge.transport.RoundTrip(request)
 	if err != nil {
 		x.cause = causeOf(err, watch)
-		return x.classifyTransportError(written.Load(), watch)
+		return x.classifyTransportError(connection.established(), watch)
 	}
 	defer response.Body.Close()
 	x.recordNotices(response, s.engine)
@@ -57,6 +62,10 @@
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
 	}
 	if result, done := x.checkResponse(response, s.engine); done {
+		if echoed := response.Header.Get(platform.HeaderAttempt); echoed != x.id {
+			// The response to this request may still arrive, where the next one would be expected.
+			connection.close()
+		}
 		return result
 	}
 	if x.isStream() && response.StatusCode == http.StatusOK {
@@ -90,11 +99,24 @@
 	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Dur("rest", rest).Msg("engine asked for a rest")
 }
 
-// engineRequest builds the request for an engine. written becomes true when a byte of it may have been sent.
-func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, *atomic.Bool, error) {
-	written := &atomic.Bool{}
+// engineConnection is the connection on which a request is sent to an engine.
+type engineConnection struct{ current atomic.Pointer[net.Conn] }
+
+// established reports whether there is a connection, so that a byte of the request may have been sent.
+func (c *engineConnection) established() bool { return c.current.Load() != nil }
+
+// close closes the connection, so that it is not used for other requests.
+func (c *engineConnection) close() {
+	if connection := c.current.Load(); connection != nil {
+		(*connection).Close()
+	}
+}
+
+// engineRequest builds the request for an engine.
+func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, *engineConnection, error) {
+	connection := &engineConnection{}
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.current.Store(&info.Conn) },
 	}
 	in := x.request
 	target := &url.URL{Scheme: "http", Host: engine.Address, Opaque: in.URL.RequestURI()}
@@ -128,7 +150,7 @@
 	if x.eventsSent > 0 {
 		out.Header.Set(platform.HeaderLastEvent, x.formatLastEventID())
 	}
-	return out, written, nil
+	return out, connection, nil
 }
 
 // responseTimeout returns how long the engine may take to start its response; 0 means until the deadline.
@@ -179,6 +201,8 @@
 	switch {
 	case echoed != x.id:
 		return x.discard(engine, "answer to another request"), true
+	case r.StatusCode < http.StatusOK:
+		return x.discard(engine, "no final status"), true
 	case r.Header.Get("Content-Encoding") != "":
 		return x.discard(engine, "encoded body"), true
 	case r.StatusCode < 300 && r.Header.Get(platform.HeaderSignature) == "":
@@ -216,10 +240,11 @@
 	return resultFailed
 }
 
-// relayComplete relays a response that is not an event stream after it has been read completely.
+// relayComplete relays a response that is not an event stream, after it has been read completely if it is not
+// longer than maxBufferedBytes.
 func (x *exchange) relayComplete(r *http.Response, watch *watchdog) sendResult {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	start, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
+	if err != nil || r.ContentLength > maxResponseBytes {
 		x.cause = causeOf(err, watch)
 		return x.classifyBodyError(watch)
 	}
@@ -227,15 +252,45 @@
 		return resultIncomplete // a stream has begun, which this response can't continue
 	}
 	x.copyHeader(r)
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(r.StatusCode)
-	x.headerSent, x.status = true, r.StatusCode
-	if _, err := x.writer.Write(body); err != nil {
+	if len(start) > maxBufferedBytes {
+		return x.relayLong(r, start, watch)
+	}
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(start)))
+	x.writeStatus(r)
+	if _, err := x.writer.Write(start); err != nil {
 		return resultCallerLeft
 	}
 	return resultDone
 }
 
+// relayLong relays a response as it arrives, which begins with start. It can't be repeated on another engine
+// afterwards.
+func (x *exchange) relayLong(r *http.Response, start []byte, watch *watchdog) sendResult {
+	watch.reset(0)
+	if r.ContentLength >= 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	x.writeStatus(r)
+	if _, err := x.writer.Write(start); err != nil {
+		return resultCallerLeft
+	}
+	rest := io.LimitReader(r.Body, int64(maxResponseBytes-len(start)+1))
+	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, struct{ io.Reader }{rest}, make([]byte, 16<<10))
+	switch {
+	case x.request.Context().Err() != nil:
+		return resultCallerLeft
+	case err != nil || n > int64(maxResponseBytes-len(start)):
+		x.cause = causeOf(err, watch)
+		return resultIncomplete
+	}
+	return resultDone
+}
+
+func (x *exchange) writeStatus(r *http.Response) {
+	x.writer.WriteHeader(r.StatusCode)
+	x.headerSent, x.status = true, r.StatusCode
+}
+
 // classifyBodyError returns the result of a send whose response body ended early.
 func (x *exchange) classifyBodyError(watch *watchdog) sendResult {
 	switch {
@@ -332,9 +387,10 @@
 		Control: setUserTimeout,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one event of a stream, including the comments and blank lines before
+// it.
+const maxEventBytes = 64 << 10
 
 // EventTooLongError reports an event of a stream that is longer than maxEventBytes.
 type EventTooLongError struct{}
@@ -24,10 +25,13 @@
 	buf []byte
 }
 
-// next returns the next event with its closing blank line. It returns io.EOF at the end of the stream and
-// io.ErrUnexpectedEOF when the stream ends within an event. The bytes are valid until the next call.
+// next returns the next event with its closing blank line and the comments and blank lines before it, which
+// are no events and therefore no progress of the stream. At the end of the stream it returns io.EOF with the
+// comments and blank lines after the last event, and io.ErrUnexpectedEOF when the stream ends within an event
+// or a line. The bytes are valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
 	r.buf = r.buf[:0]
+	hasField, lineStart := false, true
 	for {
 		line, err := r.in.ReadSlice('\n')
 		r.buf = append(r.buf, line...)
@@ -36,20 +40,29 @@
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
+			hasField = hasField || lineStart && isField(line)
+			lineStart = false
 			continue
-		case errors.Is(err, io.EOF) && len(r.buf) == 0:
-			return nil, io.EOF
+		case errors.Is(err, io.EOF) && !hasField && lineStart && len(line) == 0:
+			return r.buf, io.EOF
 		case errors.Is(err, io.EOF):
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(r.buf) > len(line) {
+		if lineStart && len(bytes.TrimRight(line, "\r\n")) == 0 && hasField {
 			return r.buf, nil
 		}
+		hasField = hasField || lineStart && isField(line)
+		lineStart = true
 	}
 }
 
+// isField reports whether a line that starts like this is a field of an event: neither blank nor a comment.
+func isField(line []byte) bool {
+	return len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':'
+}
+
 // eventID returns the number in the id field of an event. ok is false when there is none.
 func eventID(event []byte) (id int, ok bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
@@ -71,6 +84,9 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && started {
+			if _, err := x.writer.Write(event); err != nil {
+				return resultCallerLeft
+			}
 			return resultDone
 		}
 		if err != nil {
@@ -113,8 +129,7 @@
 		return
 	}
 	x.copyHeader(r)
-	x.writer.WriteHeader(r.StatusCode)
-	x.headerSent, x.status = true, r.StatusCode
+	x.writeStatus(r)
 	x.timeToFirst = clock() - x.arrived
 	x.edge.counters.firstEvent.Update(x.timeToFirst.Seconds())
 }
