Reuse connections to engines only where the request ID shows a late response

Cause: the engine client accepted responses without a request ID and shared its connections between callers' requests and control calls, so that a second copy of a response, sent late, reached the next caller as its own answer. TestLateSecondResponseReachesNoOtherCaller (internal/upstream) failed for engines that echo no IDs and after control calls.

Change: connections are reused for callers' requests only with engines that echo the ID, where a missing or other ID discards the response and closes the connection; other engines get one connection for each request; control calls have connections of their own.

Measured: go test -race ./internal/upstream ./internal/entry ./internal/poll passed.

--- a/platform/standin/raw.go
+++ b/internal/standin/raw.go
@@ -2,21 +2,18 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/primrosebeam/primrosebeam/platform"
 )
 
 // RawResponder writes the response to a request as bytes. number counts the requests on the connection from
 // 0. The connection is closed if it returns false.
 type RawResponder func(c net.Conn, r *http.Request, number int) bool
 
-// RawEngine is an engine whose responses are written byte by byte, to violate the protocol.
+// RawEngine is a stand-in for an engine whose responses are written byte by byte, to violate the protocol.
 type RawEngine struct {
 	listener net.Listener
 	respond  RawResponder
@@ -46,6 +43,9 @@
 	}
 }
 
+// Address returns the address on which the engine listens.
+func (e *RawEngine) Address() string { return e.listener.Addr().String() }
+
 // Open returns the number of connections that are open.
 func (e *RawEngine) Open() int {
 	e.mu.Lock()
@@ -96,18 +96,6 @@
 	}
 }
 
-// RawHead returns the start of a response with status 200 to an attempt, up to the end of the headers that
-// every response has.
-func RawHead(attempt string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed\r\n", platform.HeaderAttempt, attempt, platform.HeaderSignature)
-}
-
-// RawResponse returns a complete response to an attempt with the body of Response.
-func RawResponse(attempt string) string {
-	body := Response(attempt)
-	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", RawHead(attempt), len(body), body)
-}
-
 // WriteEndlessly writes start and then repeats part until the connection is closed. It pauses after each part.
 func WriteEndlessly(c net.Conn, start, part string, pause time.Duration) {
 	if _, err := io.WriteString(c, start); err != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -28,15 +29,28 @@
 )
 
 // Client sends requests to engines. It is safe for concurrent use.
+//
+// An engine may send a second copy of a response late, where the next response on the connection is expected.
+// Connections for callers' requests are therefore reused only with engines that echo the request ID, by which
+// such a copy is recognized, and never for calls of the control interface.
 type Client struct {
-	transport *http.Transport
+	echoing *http.Transport // requests to engines that are known to echo the request ID
+	single  *http.Transport // requests to other engines: one request on each connection
+	control *http.Transport // calls of the control interface
+	echoes  sync.Map        // base URLs of the engines that echo the request ID
 }
 
 // New returns a client. It ignores the proxy settings of the environment and needs no name look-ups, since
 // the URLs of engines contain IP addresses.
 func New() *Client {
+	single := newTransport()
+	single.MaxIdleConnsPerHost = -1 // unlike DisableKeepAlives, this does not change the request
+	return &Client{echoing: newTransport(), single: single, control: newTransport()}
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -49,11 +63,26 @@
 		DisableCompression:     true, // the response is relayed unchanged
 		MaxResponseHeaderBytes: maxResponseHeaderSize,
 		ReadBufferSize:         readBufferSize,
-	}}
+	}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.echoing.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
+// transportFor returns the transport for a request. mustEcho reports whether a response without the request ID
+// is to be discarded.
+func (c *Client) transportFor(r *Request) (transport *http.Transport, mustEcho bool) {
+	if r.ID == "" {
+		return c.control, false
+	}
+	if _, echoes := c.echoes.Load(r.URL); echoes {
+		return c.echoing, true
+	}
+	return c.single, false
+}
 
 // Request is one request to an engine.
 type Request struct {
@@ -63,7 +92,7 @@
 	Target string // path and query
 	Header http.Header
 	Body   []byte
-	ID     string // request ID that the engine must echo in its response
+	ID     string // request ID that the engine echoes in its response; empty for calls of the control interface
 	// BeforeSend is called when a connection is established and before the first byte is written. If it
 	// returns an error, nothing is sent. It may be nil.
 	BeforeSend func(ctx context.Context) error
@@ -77,14 +106,21 @@
 	if err != nil {
 		return nil, &NotSentError{Engine: r.Engine, Cause: err}
 	}
-	response, err := c.transport.RoundTrip(outgoing)
+	transport, mustEcho := c.transportFor(&r)
+	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
 		return nil, gate.classify(r.Engine, err)
 	}
-	if got := response.Header.Get(HeaderRequestID); r.ID != "" && got != "" && got != r.ID {
+	got := response.Header.Get(HeaderRequestID)
+	if r.ID != "" && got != r.ID && (got != "" || mustEcho) {
 		response.Body.Close()
+		gate.closeConnection() // the response to this request may still arrive on it
+		c.echoes.Delete(r.URL)
 		return nil, &MismatchError{Engine: r.Engine, Want: r.ID, Got: got}
 	}
+	if got != "" && got == r.ID {
+		c.echoes.Store(r.URL, true)
+	}
 	return response, nil
 }
 
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -66,6 +66,15 @@
 	return ok && counted.seal() == g.writtenBefore
 }
 
+// closeConnection closes the connection of the request, so that it is not used for other requests.
+func (g *gate) closeConnection() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.connection != nil {
+		g.connection.Close()
+	}
+}
+
 // countingConn counts the bytes passed to the kernel.
 type countingConn struct {
 	net.Conn
