Bound stalled responses by the tier's deadline, and sound streams by their pauses

Cause: the tier's deadline ended at the first byte, so a response that stalled after its head, or a stream whose engine sent a comment now and then, was held for ten minutes (TestStalledResponseTimesOutAtDeadline, TestEventStreamIsBoundedByItsPauses failed). The rest of a large response was no longer read when the caller of an order left, which cut the engine (TestLargeResponseOutlivesCaller failed). Comments counted as output.

Change: the deadline covers the whole response; each event of a stream, but no comment, grants it again. Large responses are read to their end where the request outlives its caller.

--- a/configuration/document.go
+++ b/configuration/document.go
@@ -28,7 +28,8 @@
 	FirstToken strictjson.Duration `json:"firstToken,omitempty"`
 	// BetweenTokens is the objective for the time between two tokens.
 	BetweenTokens strictjson.Duration `json:"betweenTokens,omitempty"`
-	// Deadline is the limit on the time from arrival to the complete response.
+	// Deadline is the limit on the time from arrival to the complete response. For event streams it limits the
+	// time to the first event and from each event to the next.
 	Deadline strictjson.Duration `json:"deadline,omitempty"`
 	// QueueLimit is the maximum number of waiting requests per instance.
 	QueueLimit int `json:"queueLimit"`
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -237,3 +237,119 @@
 		is.True(response.Header.Get(entry.HeaderOutcome) != string(entry.OutcomeNotRun))
 	}
 }
+
+// sendUntilBroken sends a GET request and returns the response, what was received of its body, and the error
+// that ended the body.
+func sendUntilBroken(t *testing.T, url string) (*http.Response, string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+// Guards against a response that stalls after its header and holds its caller and its slot far beyond the
+// deadline.
+func TestStalledResponseTimesOutAtDeadline(t *testing.T) {
+	is := is.New(t)
+	url := startHandler(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		for range 100 {
+			fmt.Fprint(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}, configuration.Route{Path: "/x"})
+	started := time.Now()
+	response, body, err := sendUntilBroken(t, url+"/x")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.True(strings.Contains(body, "urn:primrosebeam:problem:late"))
+	is.True(time.Since(started) < 2*time.Second)
+}
+
+// Guards against a stalled event stream that never ends because its engine sends a comment now and then, and
+// against a slow but sound one that is cut. The deadline of the tier is 500 ms.
+func TestEventStreamIsBoundedByItsPauses(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		later string // what the engine sends every 150 ms after the first event
+		sound bool
+	}{
+		{"comments", ":\n\n", false},
+		{"blank lines", "\n\n", false},
+		{"bytes of an event", "d", false},
+		{"events", "data: later\n\n", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			url := startHandler(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, "data: first\n\n")
+				for range 12 {
+					_ = http.NewResponseController(w).Flush()
+					select {
+					case <-r.Context().Done():
+						return
+					case <-time.After(150 * time.Millisecond):
+					}
+					fmt.Fprint(w, test.later)
+				}
+			}, configuration.Route{Path: "/events"})
+			started := time.Now()
+			_, body, err := sendUntilBroken(t, url+"/events")
+			is.True(strings.HasPrefix(body, "data: first\n\n"))
+			if test.sound {
+				is.NoErr(err)
+				is.Equal(strings.Count(body, test.later), 12)
+				return
+			}
+			is.True(err != nil) // it must not seem complete
+			is.True(time.Since(started) < 1200*time.Millisecond)
+		})
+	}
+}
+
+// Guards against an order whose large response is no longer read once its caller has disconnected: the engine
+// would see a broken connection in the middle of its work.
+func TestLargeResponseOutlivesCaller(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	url := startHandler(t, func(w http.ResponseWriter, r *http.Request) {
+		for range 40 {
+			fmt.Fprint(w, strings.Repeat("x", 64<<10))
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+				ended <- r.Context().Err()
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		ended <- nil
+	}, configuration.Route{Path: "/order"})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/order", strings.NewReader("order"))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	_, err = io.ReadFull(response.Body, make([]byte, 1<<10))
+	is.NoErr(err)
+	cancel()
+	response.Body.Close()
+	is.NoErr(<-ended)
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -202,19 +202,38 @@
 	return context.WithTimeout(parent, maxAttemptDuration)
 }
 
-// startFirstByteTimer starts a timer that cancels the attempt when the tier's deadline passes before the
-// engine begins to respond, so that an engine which accepts requests without responding does not block
-// callers. It returns nil for requests without a deadline and for those that outlive their caller: after a
-// cancellation it would be unknown whether they ran.
-func (x *exchange) startFirstByteTimer(cancel context.CancelFunc) *time.Timer {
+// progressTimer cancels an attempt when the tier's deadline passes without a complete response, so that an
+// engine which stalls does not block callers. Each event of a stream grants the same time again, so that a slow
+// but sound stream is not cut. A nil timer does nothing.
+type progressTimer struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+// startProgressTimer returns nil for requests without a deadline and for those that outlive their caller: after
+// a cancellation it would be unknown whether they ran.
+func (x *exchange) startProgressTimer(cancel context.CancelFunc) *progressTimer {
 	deadline := x.view.Document().Tiers[x.tier].Deadline.Std()
 	if deadline <= 0 || x.outlivesCaller() {
 		return nil
 	}
-	return time.AfterFunc(time.Until(x.arrivedAt.Add(deadline)), func() {
+	return &progressTimer{limit: deadline, timer: time.AfterFunc(time.Until(x.arrivedAt.Add(deadline)), func() {
 		x.deadlinePassed.Store(true)
 		cancel()
-	})
+	})}
+}
+
+// event grants the time for the next event of a stream.
+func (t *progressTimer) event() {
+	if t != nil {
+		t.timer.Reset(t.limit)
+	}
+}
+
+func (t *progressTimer) stop() {
+	if t != nil {
+		t.timer.Stop()
+	}
 }
 
 // incompleteResult returns the scheduler result of an attempt without a complete response.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -34,7 +34,7 @@
 	streamCopy        responseBuffer // copy of a stream for the owner of the key
 	firstByteReported bool           // the start of the response was reported to the scheduler
 
-	firstByteTimer *time.Timer // see startFirstByteTimer; may be nil
+	timer *progressTimer // may be nil
 
 	callerDisconnected bool // the response is read to its end without being written to the caller
 }
@@ -89,8 +89,7 @@
 		r.abandon()
 		return
 	}
-	if err := r.copyBody(); err != nil {
-		r.abortPartial()
+	if !r.copyBody() {
 		return
 	}
 	r.writeTrailers()
@@ -131,25 +130,32 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// reportFirstByte reports the start of the response to the scheduler, once, and stops the first-byte timer.
+// reportFirstByte reports the start of the response to the scheduler, once.
 func (r *relay) reportFirstByte() {
 	if r.ticket == nil || r.firstByteReported {
 		return
 	}
 	r.firstByteReported = true
-	if r.firstByteTimer != nil {
-		r.firstByteTimer.Stop()
-	}
 	r.ticket.FirstToken()
 }
 
-func (r *relay) copyBody() error {
-	if r.callerDisconnected {
-		_, err := io.Copy(io.Discard, r.response.Body)
-		return err
+// copyBody passes on the rest of the body. It returns false if it has ended the response early.
+func (r *relay) copyBody() bool {
+	buffer := make([]byte, plainStreamBufferBytes)
+	for {
+		n, err := r.response.Body.Read(buffer)
+		if writeErr := r.writeBody(buffer[:n]); writeErr != nil {
+			r.abandon()
+			return false
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return true
+		case err != nil:
+			r.abortPartial()
+			return false
+		}
 	}
-	_, err := io.Copy(r.exchange.writer, r.response.Body)
-	return err
 }
 
 func (r *relay) writeComplete(body []byte) {
@@ -192,8 +198,12 @@
 	r.writeHeader(-1, "")
 	controller := http.NewResponseController(x.writer)
 	buffer := make([]byte, plainStreamBufferBytes)
+	var events eventScanner
 	for {
 		n, err := r.response.Body.Read(buffer)
+		if events.scan(buffer[:n]) {
+			r.timer.event()
+		}
 		if writeErr := r.writeBody(buffer[:n]); writeErr != nil || r.flush(controller) != nil {
 			r.abandon()
 			return
@@ -255,6 +265,9 @@
 			return err
 		}
 		*lastID = stream.LastID()
+		if stream.HasFields() {
+			r.timer.event()
+		}
 		if stream.Events() == 1 {
 			r.reportFirstByte()
 		}
@@ -273,6 +286,30 @@
 	}
 }
 
+// eventScanner finds the ends of events in a stream that is passed on in pieces of any size. Comments and blank
+// lines are no events.
+type eventScanner struct {
+	lineLength int
+	hasField   bool // the current event has a field
+}
+
+// scan reports whether an event ends in the next piece of the stream.
+func (s *eventScanner) scan(piece []byte) (ended bool) {
+	for _, b := range piece {
+		switch {
+		case b == '\n' && s.lineLength == 0:
+			ended = ended || s.hasField
+			s.hasField = false
+		case b == '\n':
+			s.lineLength = 0
+		case b != '\r':
+			s.hasField = s.hasField || s.lineLength == 0 && b != ':'
+			s.lineLength++
+		}
+	}
+	return ended
+}
+
 // resume continues a broken stream on the same engine by request ID and last event ID and reports whether it
 // succeeded. A stream without event IDs is not resumed, since events could be repeated.
 func (r *relay) resume(ctx context.Context, lastID string, attempt int) bool {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -96,10 +96,8 @@
 func (x *exchange) attempt(ticket *dispatch.Ticket) (problem *Problem, retry bool) {
 	ctx, cancel := x.attemptContext()
 	defer cancel()
-	timer := x.startFirstByteTimer(cancel)
-	if timer != nil {
-		defer timer.Stop()
-	}
+	timer := x.startProgressTimer(cancel)
+	defer timer.stop()
 	if x.outlivesCaller() {
 		x.handler.detached.Add(1)
 		defer x.handler.detached.Done()
@@ -110,7 +108,7 @@
 	}
 	defer response.Body.Close()
 	x.reportLeaving(response)
-	relay := &relay{exchange: x, ticket: ticket, response: response, engineRequestID: x.attemptID(), firstByteTimer: timer}
+	relay := &relay{exchange: x, ticket: ticket, response: response, engineRequestID: x.attemptID(), timer: timer}
 	problem = relay.run(ctx)
 	if problem != nil && relay.result.Result == scheduler.ResultFailed && x.mayRedispatch() {
 		ticket.BytesSent()
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -21,6 +21,7 @@
 	buffer []byte
 	lastID string
 	events int
+	fields bool // the last event has a field
 	done   bool
 }
 
@@ -66,7 +67,10 @@
 // LastID returns the ID of the last complete event that had one.
 func (s *EventStream) LastID() string { return s.lastID }
 
-// Events returns the number of complete events read.
+// HasFields reports whether the last event that was read has a field, and is not a comment only.
+func (s *EventStream) HasFields() bool { return s.fields }
+
+// Events returns the number of complete events read, without comments.
 func (s *EventStream) Events() int { return s.events }
 
 // Buffered returns the number of bytes that are buffered and can be read without waiting for the engine.
@@ -75,9 +79,10 @@
 // Done reports whether the last event of the stream was read.
 func (s *EventStream) Done() bool { return s.done }
 
-// finishEvent counts the event in the buffer, records its ID and detects the end of the stream.
+// finishEvent counts the event in the buffer unless it consists of comments, records its ID and detects the end
+// of the stream.
 func (s *EventStream) finishEvent() {
-	s.events++
+	s.fields = false
 	for rest := s.buffer; len(rest) > 0; {
 		line := rest
 		if cut := bytes.IndexByte(rest, '\n'); cut >= 0 {
@@ -86,6 +91,9 @@
 		} else {
 			rest = nil
 		}
+		if field := bytes.TrimSuffix(line, []byte("\r")); len(field) > 0 && field[0] != ':' {
+			s.fields = true
+		}
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			s.lastID = string(bytes.TrimSpace(id))
 		}
@@ -93,6 +101,9 @@
 			s.done = true
 		}
 	}
+	if s.fields {
+		s.events++
+	}
 }
 
 func isBlank(line []byte) bool {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -25,6 +25,18 @@
 	is.Equal(stream.LastID(), "a:0")
 }
 
+// Guards against comments that are counted as events and thereby as output and progress.
+func TestCommentsAreNoEvents(t *testing.T) {
+	is := is.New(t)
+	stream := upstream.NewEventStream(strings.NewReader(":c\n\nd\n\n:c\r\n\r\n"), "")
+	for i, want := range []bool{false, true, false} {
+		_, err := stream.Next()
+		is.NoErr(err)
+		is.Equal(stream.HasFields(), want)
+		is.Equal(stream.Events(), min(i, 1))
+	}
+}
+
 // Guards against a stream that does not end after its last event.
 func TestEventStreamEndsAfterDone(t *testing.T) {
 	is := is.New(t)
