Stop an instance without cutting requests that are being read

Cause: net/http closes a kept connection as idle until the whole header of the next request was read, so a planned stop cut requests that callers had begun to send.

Change: internal/drain tracks whether bytes of the next request have arrived, also in the kernel, closes a connection only when it has been idle for 100 ms, and announces the end in all responses meanwhile. The platform's entry role and the product's own servers use it.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/claims"
 	"github.com/primrosebeam/primrosebeam/internal/control"
 	"github.com/primrosebeam/primrosebeam/internal/dispatch"
+	"github.com/primrosebeam/primrosebeam/internal/drain"
 	"github.com/primrosebeam/primrosebeam/internal/entry"
 	"github.com/primrosebeam/primrosebeam/internal/exchange"
 	"github.com/primrosebeam/primrosebeam/internal/link"
@@ -33,8 +34,8 @@
 	dispatch    *dispatch.Worker
 	entry       *entry.Handler
 	poll        *poll.Manager
-	callers     *server
-	operators   *server
+	callers     *drain.Server
+	operators   *drain.Server
 
 	link     *link.Node         // nil without a listener for instances
 	exchange *exchange.Exchange // nil without link
@@ -109,17 +110,17 @@
 		return err
 	}
 	if i.operators, err = newServer(i.options.Listen.Operators, operators, i.options.Limits); err != nil {
-		i.callers.listener.Close()
+		i.callers.Close()
 		return err
 	}
 	return nil
 }
 
 // CallerAddress returns the address on which the instance listens for callers.
-func (i *Instance) CallerAddress() string { return i.callers.listener.Addr().String() }
+func (i *Instance) CallerAddress() string { return i.callers.Address().String() }
 
 // OperatorAddress returns the address on which the instance listens for operators.
-func (i *Instance) OperatorAddress() string { return i.operators.listener.Addr().String() }
+func (i *Instance) OperatorAddress() string { return i.operators.Address().String() }
 
 // ready reports whether the instance accepts requests, and the reason if it does not.
 func (i *Instance) ready() (ready bool, reason string) {
--- a/instance/listener.go
+++ b/instance/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
 // limitedListener is a net.Listener that limits the number of open connections. Further connections wait
@@ -49,6 +50,15 @@
 	release   func()
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSUP
+	}
+	return socket.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.closeOnce.Do(c.release)
--- a/instance/run.go
+++ b/instance/run.go
@@ -18,8 +18,8 @@
 	i.startCluster(linkWorkers, exchangeWorkers, workers)
 	workers.Start("dispatch", i.dispatch.Run)
 	workers.Start("poll", i.poll.Run)
-	workers.Start("callers", i.callers.serve)
-	workers.Start("operators", i.operators.serve)
+	workers.Start("callers", func(context.Context) error { return i.callers.Serve() })
+	workers.Start("operators", func(context.Context) error { return i.operators.Serve() })
 	err := i.startConfiguration(workers)
 	if err == nil {
 		i.options.Logger.Info().Str("callers", i.CallerAddress()).Str("operators", i.OperatorAddress()).Msg("instance started")
@@ -31,8 +31,8 @@
 		case err = <-exchangeWorkers.Failures():
 		}
 	}
-	i.callers.http.Close()
-	i.operators.http.Close()
+	i.callers.Close()
+	i.operators.Close()
 	workers.Stop()
 	exchangeWorkers.Stop()
 	linkWorkers.Stop()
@@ -82,7 +82,7 @@
 			i.options.Logger.Warn().Err(err).Msg("failed to announce that the instance is leaving")
 		}
 	}
-	err := i.callers.shutdown(force)
+	err := i.callers.Stop(force)
 	if err == nil {
 		err = i.entry.Wait(force)
 	}
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,143 @@
+package drain
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func startServer(t *testing.T, handler http.HandlerFunc) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := New(&http.Server{Handler: handler, Protocols: &protocols}, listener)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// TestStopServesBegunRequests guards against a stop that cuts a request whose first bytes have arrived on a new
+// or a kept connection, and against one that keeps idle connections open.
+func TestStopServesBegunRequests(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		t.Run(fmt.Sprint("kept connection ", kept), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })
+			connection, err := net.Dial("tcp", s.Address().String())
+			is.NoErr(err)
+			defer connection.Close()
+			in := bufio.NewReader(connection)
+			receive := func() {
+				response, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "whole")
+			}
+			const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+			if kept {
+				fmt.Fprint(connection, request)
+				receive()
+			}
+			fmt.Fprint(connection, request[:3])
+			time.Sleep(20 * time.Millisecond)
+			stopped := make(chan error, 1)
+			start := time.Now()
+			go func() { stopped <- s.Stop(t.Context()) }()
+			time.Sleep(400 * time.Millisecond)
+			fmt.Fprint(connection, request[3:])
+			receive()
+			is.NoErr(<-stopped)
+			is.True(time.Since(start) < 2*time.Second)
+			_, err = in.ReadByte()
+			is.Equal(err, io.EOF) // closed once it is idle
+		})
+	}
+}
+
+// TestStopUnderLoad guards against a stop that cuts requests of callers that send one after the other on kept
+// connections, and against responses that do not tell them to close these.
+func TestStopUnderLoad(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Millisecond)
+		fmt.Fprint(w, "whole")
+	})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	cut, answered := 0, 0
+	for range 50 {
+		callers.Go(func() {
+			connection, err := net.Dial("tcp", s.Address().String())
+			if err != nil {
+				return
+			}
+			defer connection.Close()
+			in := bufio.NewReader(connection)
+			for {
+				if _, err := fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+					return
+				}
+				response, err := http.ReadResponse(in, nil)
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+				}
+				mu.Lock()
+				if err != nil {
+					cut++
+				} else {
+					answered++
+				}
+				mu.Unlock()
+				if err != nil || response.Close {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.NoErr(s.Stop(ctx))
+	callers.Wait()
+	is.True(answered > 50)
+	is.Equal(cut, 0)
+}
+
+// TestStopEndsHTTP2 guards against a stop that waits for idle HTTP/2 connections.
+func TestStopEndsHTTP2(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Proto) })
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	response, err := client.Get("http://" + s.Address().String())
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(string(body), "HTTP/2.0")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.NoErr(s.Stop(ctx))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/directory"
+	"github.com/primrosebeam/primrosebeam/internal/drain"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/monitor"
@@ -178,13 +179,8 @@
 	case err := <-workers.Failures():
 		return errors.Join(err, listener.Close())
 	}
-	server := e.newCallerServer(e.control.table.Load().Limits)
-	workers.Start("callers", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	server := drain.New(e.newCallerServer(e.control.table.Load().Limits), listener)
+	workers.Start("callers", func(context.Context) error { return server.Serve() })
 	select {
 	case <-ctx.Done():
 		e.stop(server)
@@ -207,8 +203,8 @@
 
 // stop takes the instance out of service without interrupting requests. It reports that the instance is not
 // ready, continues to serve until the load balancer has removed the instance, closes idle connections and
-// waits for the requests in progress.
-func (e *Edge) stop(server *http.Server) {
+// waits for the requests in progress, also for those that are still being read.
+func (e *Edge) stop(server *drain.Server) {
 	start := clock()
 	e.stopping.Store(true)
 	e.options.Logger.Info().Msg("stop requested")
@@ -216,9 +212,8 @@
 	limit := e.options.Settings.Bounds.StopTimeout - stopMargin - (clock() - start)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		e.options.Logger.Error().Err(err).Dur("took", clock()-start).Msg("stop forced: requests were cut")
-		server.Close()
+	if err := server.Stop(ctx); err != nil {
+		e.options.Logger.Error().Err(errors.Join(err, server.Close())).Dur("took", clock()-start).Msg("stop forced: requests were cut")
 		return
 	}
 	e.options.Logger.Info().Dur("took", clock()-start).Msg("stopped gracefully")
