Check every permission right before it is used, also after a pause

Cause: the allocator freed the slots of an instance that was silent for 2 s although its runs went on, so their engines got more requests than slots; a paused allocator granted on the state before its pause; a paused entry instance used a slot, a key or a deadline that had passed meanwhile.

Change: runs of a silent instance keep their slots until twice their expected duration, until it reports again or restarts; after a pause of 1.5 s the allocator waits for full reports; right before each send the age of the grant (1 s at most), the time left, the lease and the notices of the engine are checked by the clock that counts suspensions.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -22,9 +22,12 @@
 	// tickInterval is the interval between scheduling decisions while requests wait and no event arrives.
 	// It bounds the delay of a rejection.
 	tickInterval = 25 * time.Millisecond
-	// ownerTimeout is the time without an update after which the requests of an entry instance are
+	// ownerTimeout is the time without an update after which the waiting requests of an entry instance are
 	// removed. Entry instances send an update every 250 ms.
 	ownerTimeout = 2 * time.Second
+	// pauseLimit is the time between two decisions from which this process is considered to have been paused.
+	// It is three times the longest tick.
+	pauseLimit = 3 * ownerTimeout / 4
 	// reportTime is how long a new allocator waits for the entry instances to report their running requests
 	// before it issues grants. Entry instances learn of a new allocator within the 200 ms between two
 	// heartbeats.
@@ -51,8 +54,10 @@
 	core              *placement.Core
 	notices           *placement.Notices // leaving engines that entry instances reported
 	owners            map[string]*owner
+	silent            map[string]uint64 // incarnations of instances that fell silent, by name
 	leads             bool
 	grantsPausedUntil time.Duration
+	lastRun           time.Duration // time of the last decision
 	entryInstances    int // number of entry instances in the whole system
 
 	granted, rejected, dropped *metrics.Counter
@@ -94,6 +99,7 @@
 		core:     placement.New(),
 		notices:  placement.NewNotices(),
 		owners:   map[string]*owner{},
+		silent:   map[string]uint64{},
 		granted:  o.Metrics.NewCounter("primrosebeam_placement_grants_total"),
 		rejected: o.Metrics.NewCounter("primrosebeam_placement_rejections_total"),
 		dropped:  o.Metrics.NewCounter("primrosebeam_placement_updates_dropped_total"),
@@ -140,6 +146,7 @@
 	a.grantsPausedUntil = clock() + reportTime
 	return worker.Loop(ctx, a.events.Ready(), a.nextTick, func() {
 		now := clock()
+		a.checkPause(now)
 		a.events.Drain(func(e event) { a.handle(now, &e) })
 		a.removeSilentOwners(now)
 		a.decide(now)
@@ -147,6 +154,24 @@
 	})
 }
 
+// checkPause detects that this process was paused. Other allocators may have issued grants meanwhile, so the
+// entry instances have to report all their requests before this one issues grants again.
+func (a *Allocator) checkPause(now time.Duration) {
+	paused := now - a.lastRun
+	former := a.lastRun
+	a.lastRun = now
+	if former == 0 || paused <= pauseLimit {
+		return
+	}
+	a.grantsPausedUntil = now + reportTime
+	for _, o := range a.owners {
+		a.core.DetachOwner(o.name)
+		o.synced = false
+		o.lastSeen = now // it may have sent updates that were not received
+	}
+	a.options.Logger.Warn().Dur("paused", paused).Int("owners", len(a.owners)).Msg("allocator was paused; waiting for reports")
+}
+
 // nextTick returns the time until the next decision without an event. It is longer while no request waits,
 // to avoid unnecessary wake-ups.
 func (a *Allocator) nextTick() time.Duration {
@@ -201,7 +226,10 @@
 func (a *Allocator) handleUpdate(now time.Duration, from link.Sender, u *fleet.Update) {
 	o := a.owners[from.Name]
 	if o == nil || o.incarnation != from.Incarnation {
-		a.core.RemoveOwner(from.Name)
+		if o != nil || a.silent[from.Name] != from.Incarnation {
+			a.core.RemoveOwner(from.Name) // the requests belong to an earlier start of the instance
+		}
+		delete(a.silent, from.Name)
 		o = &owner{name: from.Name, dataCentre: from.DataCentre, incarnation: from.Incarnation}
 		a.owners[from.Name] = o
 		a.updateQuotaShare(now)
@@ -328,11 +356,12 @@
 		if now-o.lastSeen <= ownerTimeout {
 			continue
 		}
-		a.core.RemoveOwner(name)
+		a.core.DetachOwner(name)
+		a.silent[name] = o.incarnation
 		delete(a.owners, name)
 		a.updateQuotaShare(now)
 		a.options.Logger.Warn().Str("peer", name).Dur("silent", now-o.lastSeen).
-			Msg("entry instance lost; its requests are removed")
+			Msg("entry instance is silent; its waiting requests are removed")
 	}
 }
 
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -45,6 +45,7 @@
 // slotDecision is the decision about a ticket: an engine, or a reason for the rejection.
 type slotDecision struct {
 	engine      placement.Engine
+	at          time.Duration // when this instance learned of it
 	reason      placement.Reason // set if the request was rejected
 	retryAfter  time.Duration
 	allocator   string        // allocator that decided; empty for this instance
@@ -335,6 +336,7 @@
 		return // duplicate grant
 	}
 	t.engine = decision.engine.ID
+	decision.at = now
 	if decision.allocator != "" {
 		p.local.AddRunning(now, placementRequest(t), t.engine, false)
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -111,29 +111,54 @@
 // slot is an engine that a request has acquired for one send.
 type slot struct {
 	engine     placement.Engine
+	acquiredAt time.Duration
 	firstEvent func()                                      // reports the first event of the response
 	end        func(outcome placement.Outcome, tokens int) // releases the slot
 }
 
-// maxUnsentGrants is the number of slots that a request may return because of notices of their engines that
-// arrived after the slots were granted.
+// maxUnsentGrants is the number of slots that a request may return because they can no longer be used.
 const maxUnsentGrants = 8
 
-// acquireUsableSlot acquires a slot on an engine that has not stated in the meantime that it is leaving or
-// wants no requests from this instance. It returns false like acquireSlot.
+// maxGrantAge is the age up to which a slot may be used. A process that was paused after it acquired a slot holds
+// an older one, which the allocator may have given to another request meanwhile.
+const maxGrantAge = time.Second
+
+// acquireUsableSlot acquires a slot and checks, right before it is used, everything that may have changed since it
+// was granted, also while this process was paused: the age of the grant, notices of the engine, the time left and
+// the lease on the key. It returns false like acquireSlot.
 func (x *exchange) acquireUsableSlot(ctx context.Context) (slot, bool) {
 	for range maxUnsentGrants {
 		acquired, ok := x.acquireSlot(ctx)
-		if !ok || x.edge.notices.MayUse(clock(), acquired.engine.ID) {
-			return acquired, ok
+		if !ok {
+			return slot{}, false
+		}
+		now := clock()
+		why, retryAfter := x.checkPermissions(now)
+		if why == "" && now-acquired.acquiredAt <= maxGrantAge && x.edge.notices.MayUse(now, acquired.engine.ID) {
+			return acquired, true
 		}
 		acquired.end(placement.OutcomeUnused, 0)
 		x.edge.counters.unsentGrants.Inc()
+		if why != "" {
+			x.finishUnplaced(why, retryAfter)
+			return slot{}, false
+		}
 	}
 	x.finishUnplaced(reason(placement.ReasonNoEngine), notReadyRetry)
 	return slot{}, false
 }
 
+// checkPermissions returns the reason for which the request must not be sent now, or an empty one.
+func (x *exchange) checkPermissions(now time.Duration) (why reason, retryAfter time.Duration) {
+	switch {
+	case x.deadline <= now:
+		return reason(placement.ReasonDeadline), quotaRetry
+	case x.workspace != nil && x.sends == 0 && x.edge.control.leaseLeft() <= 0:
+		return reasonNoLease, notReadyRetry
+	}
+	return "", 0
+}
+
 // acquireSlot waits for a slot. It returns false if there is none; it has then sent the final response to the
 // caller.
 func (x *exchange) acquireSlot(ctx context.Context) (slot, bool) {
@@ -156,6 +181,7 @@
 		}
 		return slot{
 			engine:     d.engine,
+			acquiredAt: d.at,
 			firstEvent: func() { x.edge.placer.FirstEvent(t) },
 			end:        func(o placement.Outcome, tokens int) { x.edge.placer.End(t, o, tokens) },
 		}, true
@@ -191,6 +217,7 @@
 	}
 	return slot{
 		engine:     engine,
+		acquiredAt: clock(),
 		firstEvent: func() {},
 		end:        func(o placement.Outcome, _ int) { x.edge.balancer.Done(clock(), engine.ID, o) },
 	}, true
--- /dev/null
+++ b/internal/edge/run_test.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/internal/boottime"
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/routing"
+)
+
+// TestPermissionsAreCheckedBeforeSend guards against a process that was paused between the time it got a
+// permission and the time it uses it: a slot that was granted long ago, an engine that stated meanwhile that it is
+// leaving or wants a rest, a deadline or a lease on the key that has passed.
+func TestPermissionsAreCheckedBeforeSend(t *testing.T) {
+	const pause = 3 * time.Second
+	for _, test := range []struct {
+		name    string
+		prepare func(x *exchange) // what happens before the slot is used
+		age     time.Duration     // age of the first grant
+		sent    bool              // a second grant is used
+		status  int               // otherwise
+	}{
+		{"old grant", func(*exchange) {}, pause, true, 0},
+		{"engine is leaving", func(x *exchange) { x.edge.notices.RecordLeaving(clock(), "first") }, 0, true, 0},
+		{"engine wants a rest", func(x *exchange) { x.edge.notices.RecordRest(clock(), "first", pause) }, 0, true, 0},
+		{"deadline", func(x *exchange) { x.deadline = clock() - 1 }, 0, false, http.StatusServiceUnavailable},
+		{"lease", func(x *exchange) { x.edge.control.leaseEnd.Store(int64(boottime.Now()) - 1) }, 0, false, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newTestEdge(t, nil)
+			e.control = newTestControlClient(t, &controlStub{}, "10.0.0.1:1")
+			e.control.leaseEnd.Store(int64(boottime.Now().Add(time.Hour)))
+			writer := httptest.NewRecorder()
+			x := newTestExchange(e, routing.KindStream, writer, httptest.NewRequest(http.MethodPost, "http://host/path", nil))
+			x.deadline = clock() + time.Minute
+			x.service.Model = &routing.Model{TokensPerEvent: 1}
+			x.workspace = &routing.Workspace{Name: "w"}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			test.prepare(x)
+			type result struct {
+				slot slot
+				ok   bool
+			}
+			acquired := make(chan result, 1)
+			go func() {
+				s, ok := x.acquireUsableSlot(ctx)
+				acquired <- result{s, ok}
+			}()
+			p := e.placer
+			grant := func(engine string, age time.Duration) {
+				for waited := false; !waited; time.Sleep(time.Millisecond) {
+					p.step(clock())
+					for id, ticket := range p.tickets {
+						if waited = ticket.engine == ""; waited {
+							p.grant(clock()-age, id, slotDecision{engine: placement.Engine{ID: engine}})
+							return
+						}
+					}
+				}
+			}
+			grant("first", test.age)
+			if test.sent {
+				grant("second", 0)
+				got := <-acquired
+				is.True(got.ok)
+				is.Equal(got.slot.engine.ID, "second")
+				return
+			}
+			is.True(!(<-acquired).ok)
+			is.Equal(writer.Code, test.status)
+			p.step(clock())
+			is.Equal(len(p.tickets), 0) // the slot was returned
+		})
+	}
+}
--- a/placement/core.go
+++ b/placement/core.go
@@ -19,6 +19,7 @@
 	quotas     map[string]*tokenBucket
 	quotaShare float64 // fraction of each quota that this core may spend
 	latency    latencyModel
+	detached map[RequestID]*trackedRequest // runs whose owner is silent
 	// scope is the data centre to which grants are limited; empty means that all engines are used.
 	scope string
 
@@ -36,6 +37,8 @@
 	valueDensity float64 // value of an on-time response per second of slot time
 	sizeClass    int     // index into sizeClassBounds, or -1
 	grantedAt    time.Duration
+	// releaseAt is the time at which the slot of a run whose owner is silent is freed; 0 if its owner reports.
+	releaseAt time.Duration
 	started      bool // the first event has arrived
 	firstEventAt time.Duration
 }
@@ -67,6 +70,7 @@
 		services:   map[string]*service{},
 		requests:   map[RequestID]*trackedRequest{},
 		quotas:     map[string]*tokenBucket{},
+		detached:   map[RequestID]*trackedRequest{},
 		quotaShare: 1,
 		latency:    newLatencyModel(),
 	}
@@ -192,6 +196,8 @@
 func (c *Core) AddRunning(now time.Duration, r Request, engineID string, started bool) {
 	if tracked := c.requests[r.ID]; tracked != nil {
 		if tracked.engine != nil {
+			tracked.releaseAt = 0
+			delete(c.detached, r.ID)
 			return
 		}
 		c.removeWaiting(tracked)
@@ -268,6 +274,7 @@
 		return
 	}
 	delete(c.requests, id)
+	delete(c.detached, id)
 	e := r.engine
 	e.remove(r)
 	defer c.recordHealthChange(e, e.health(), outcome)
@@ -303,6 +310,36 @@
 			c.removeWaiting(r)
 		}
 		delete(c.requests, id)
+		delete(c.detached, id)
+	}
+}
+
+// detachedRunFactor is how long the run of a silent owner occupies its slot at most, in multiples of its expected
+// duration.
+const detachedRunFactor = 2
+
+// DetachOwner removes the waiting requests of an owner that is silent. Its runs may continue, so their slots stay
+// occupied until they are expected to have ended, or until the owner reports again.
+func (c *Core) DetachOwner(owner string) {
+	for _, id := range c.RequestsOf(owner) {
+		r := c.requests[id]
+		if r.engine == nil {
+			c.Withdraw(id)
+			continue
+		}
+		r.releaseAt = min(r.grantedAt+detachedRunFactor*c.latency.timeToFinish(r.engine, r), r.Deadline)
+		c.detached[id] = r
+	}
+}
+
+// releaseDetached frees the slots of the runs of silent owners that are expected to have ended.
+func (c *Core) releaseDetached(now time.Duration) {
+	for id, r := range c.detached {
+		if now >= r.releaseAt {
+			r.engine.remove(r)
+			delete(c.requests, id)
+			delete(c.detached, id)
+		}
 	}
 }
 
@@ -325,6 +362,7 @@
 // The returned slices are valid until the next call.
 func (c *Core) Decide(now time.Duration) ([]Grant, []Rejection) {
 	c.grants = c.grants[:0]
+	c.releaseDetached(now)
 	for _, s := range c.services {
 		c.expire(now, s)
 		for c.grantNext(now, s) {
