Start test processes in process groups of their own

Finding of an e2e run in the background: TestLeaderFaultsDuringSubmission/freeze failed with 'process already finished', without output of the instance. Cause: when the shell that started the tests exits, the kernel sends SIGHUP to its process groups that have stopped members.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,6 +73,8 @@
 	p.command.Env = append(os.Environ(), processRoleVariable+"="+p.role)
 	p.command.Stdout = p.output
 	p.command.Stderr = p.output
+	// The kernel sends SIGHUP to a process group with stopped members when the shell that started it exits.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -166,6 +166,7 @@
 		}
 	}
 	p.command = exec.Command(s.binary, p.role, "-shared-key", s.keyFile, "-settings", path)
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // else SIGHUP ends stopped processes when a shell exits
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	s.must(p.command.Start())
 	p.shouldRun = true
