--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -58,7 +58,7 @@
 	leads             bool
 	grantsPausedUntil time.Duration
 	lastRun           time.Duration // time of the last decision
-	entryInstances    int // number of entry instances in the whole system
+	entryInstances    int           // number of entry instances in the whole system
 
 	granted, rejected, dropped *metrics.Counter
 	waiting                    *metrics.Histogram
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -45,7 +45,7 @@
 // slotDecision is the decision about a ticket: an engine, or a reason for the rejection.
 type slotDecision struct {
 	engine      placement.Engine
-	at          time.Duration // when this instance learned of it
+	at          time.Duration    // when this instance learned of it
 	reason      placement.Reason // set if the request was rejected
 	retryAfter  time.Duration
 	allocator   string        // allocator that decided; empty for this instance
--- a/placement/core.go
+++ b/placement/core.go
@@ -19,7 +19,7 @@
 	quotas     map[string]*tokenBucket
 	quotaShare float64 // fraction of each quota that this core may spend
 	latency    latencyModel
-	detached map[RequestID]*trackedRequest // runs whose owner is silent
+	detached   map[RequestID]*trackedRequest // runs whose owner is silent
 	// scope is the data centre to which grants are limited; empty means that all engines are used.
 	scope string
 
@@ -38,7 +38,7 @@
 	sizeClass    int     // index into sizeClassBounds, or -1
 	grantedAt    time.Duration
 	// releaseAt is the time at which the slot of a run whose owner is silent is freed; 0 if its owner reports.
-	releaseAt time.Duration
+	releaseAt    time.Duration
 	started      bool // the first event has arrived
 	firstEventAt time.Duration
 }
