--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -293,7 +293,11 @@
 	}
 	for i := range u.Runs {
 		r := &u.Runs[i]
-		a.core.AddRunning(now, o.request(now, &r.Request), r.Engine, r.Started)
+		firstEventAt := time.Duration(0)
+		if r.Started {
+			firstEventAt = now - time.Duration(r.FirstEventAgeMS)*time.Millisecond
+		}
+		a.core.AddRunning(o.request(now, &r.Request), r.Engine, now-time.Duration(r.GrantAgeMS)*time.Millisecond, firstEventAt)
 	}
 }
 
--- a/internal/claims/owner_test.go
+++ b/internal/claims/owner_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"sync"
 	"syscall"
@@ -459,16 +461,28 @@
 	is.Equal(c.now().UnixMilli(), int64(12_201_000))
 }
 
-// FuzzDecodeIdentity guards against an identity decoder that panics or accepts a file of another version.
+// FuzzDecodeIdentity guards against an identity decoder that panics, and against an accepted file whose identity
+// is not read again as it was. The fuzzed bytes are the body; the checksum is valid, since a fuzzer does not find
+// one.
 func FuzzDecodeIdentity(f *testing.F) {
 	data, err := identity{Version: 1, Owner: "o", Incarnation: 2, Epoch: 3, Secret: []byte("secret")}.encode()
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		if i, err := decodeIdentity("identity", data); err == nil && i.Version != identityVersion {
-			t.Fatal("accepted an unknown version")
+	f.Add(data[sha256.Size:])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		sum := sha256.Sum256(body)
+		i, err := decodeIdentity("identity", append(sum[:], body...))
+		if err != nil {
+			return
+		}
+		encoded, err := i.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeIdentity("identity", encoded)
+		if err != nil || i.Version != identityVersion || !reflect.DeepEqual(again, i) {
+			t.Fatalf("accepted %+v, which is read again as %+v: %v", i, again, err)
 		}
 	})
 }
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -26,7 +26,7 @@
 	fields     map[string]any
 }
 
-// maxLogLineBytes bounds the length of a line; no line of this program is longer.
+// maxLogLineBytes bounds the length of a line; no line of this program is longer. Longer ones are skipped.
 const maxLogLineBytes = 1 << 20
 
 // reasonCompleted is the reason field of requests that received a complete response.
@@ -70,15 +70,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("command: log: %w", err)
 		}
-		scanner := bufio.NewScanner(file)
-		scanner.Buffer(nil, maxLogLineBytes)
-		for number := 1; scanner.Scan(); number++ {
-			if line, ok := parseLogLine(scanner.Bytes()); ok {
+		err = forEachLine(file, func(number int, text []byte) {
+			if line, ok := parseLogLine(text); ok {
 				line.file, line.lineNumber = path, number
 				lines = append(lines, line)
 			}
-		}
-		if err := errors.Join(scanner.Err(), file.Close()); err != nil {
+		})
+		if err := errors.Join(err, file.Close()); err != nil {
 			return nil, fmt.Errorf("command: log %s: %w", path, err)
 		}
 	}
@@ -86,6 +84,29 @@
 	return lines, nil
 }
 
+// forEachLine calls handle for each line that is not longer than maxLogLineBytes. Lines are numbered from 1; the
+// text is valid during the call.
+func forEachLine(in io.Reader, handle func(number int, text []byte)) error {
+	reader := bufio.NewReaderSize(in, maxLogLineBytes)
+	for number := 1; ; number++ {
+		text, err := reader.ReadSlice('\n')
+		tooLong := false
+		for errors.Is(err, bufio.ErrBufferFull) {
+			tooLong = true
+			_, err = reader.ReadSlice('\n')
+		}
+		if !tooLong && len(text) > 0 {
+			handle(number, text)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
 // parseLogLine decodes the JSON object that starts at the first brace of a line. It returns false when there
 // is none or when the object has no message.
 func parseLogLine(text []byte) (logLine, bool) {
@@ -114,7 +135,7 @@
 // includes those of the instance that served it.
 var stateChangeMessages = []string{
 	"control instance lost", "control instance regained", "allocator changed", "list of engines lost", "list of engines regained",
-	"configuration in force", "stop requested", "entry instance started", "engine gone from the list",
+	"allocator was paused", "configuration in force", "stop requested", "entry instance started", "engine gone from the list",
 }
 
 // maxContextLines is the maximum number of earlier lines that are printed as the context of a request.
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -10,8 +10,9 @@
 	"github.com/matryer/is"
 )
 
-const exampleLog = `  1.5 edge-1 {"level":"info","instance":"edge-1","number":7,"time":"2026-01-01T00:00:01.000Z","message":"configuration in force"}
+var exampleLog = `  1.5 edge-1 {"level":"info","instance":"edge-1","number":7,"time":"2026-01-01T00:00:01.000Z","message":"configuration in force"}
 not a line of this program
+` + strings.Repeat("a line of another program that is longer than any of this one", maxLogLineBytes/32) + `
 {"level":"warn","instance":"edge-1","from":"10.0.0.1","to":"10.0.0.2","time":"2026-01-01T00:00:02.000Z","message":"allocator changed"}
 {"level":"warn","instance":"edge-2","id":"other","status":503,"reason":"overload","route":"r","time":"2026-01-01T00:00:03.000Z","message":"request"}
 {"level":"warn","instance":"edge-1","id":"abc","status":503,"reason":"overload","route":"r","waiting":41,"time":"2026-01-01T00:00:03.500Z","message":"request"}
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
@@ -41,6 +42,16 @@
 // Code returns the stable error code that the sender of a call receives.
 func (e *UndeterminedError) Code() string { return "core.undetermined" }
 
+// NotStoredError reports a configuration that was not stored and never will be.
+type NotStoredError struct{ Cause error }
+
+func (e *NotStoredError) Error() string { return fmt.Sprintf("core: not stored: %v", e.Cause) }
+
+func (e *NotStoredError) Unwrap() error { return e.Cause }
+
+// Code returns the stable error code that the sender of a call receives.
+func (e *NotStoredError) Code() string { return "core.not-stored" }
+
 // leaderName returns the leader that this instance knows, or *NoLeaderError.
 func (c *ControlInstance) leaderName() (string, error) {
 	leader, known := c.replica.Leader()
@@ -76,11 +87,7 @@
 	}
 	outcome, err := c.replica.Propose(ctx, command)
 	if err != nil {
-		var undetermined *replica.UndeterminedError
-		if errors.As(err, &undetermined) {
-			return fleet.Submitted{}, &UndeterminedError{Cause: err}
-		}
-		return fleet.Submitted{}, err
+		return fleet.Submitted{}, classifyProposal(err)
 	}
 	result, ok := outcome.(revision.Result)
 	if !ok {
@@ -89,6 +96,22 @@
 	return fleet.Submitted{Stored: result.Stored, Number: result.Number}, nil
 }
 
+// classifyProposal returns *NotStoredError for errors of the log which state that the proposal was not executed,
+// and *UndeterminedError for all others.
+func classifyProposal(err error) error {
+	var undetermined *replica.UndeterminedError // may be caused by one of the other errors
+	var notLeader *replica.NotLeaderError
+	var overloaded *consensus.OverloadedError
+	var tooLarge *consensus.TooLargeError
+	switch {
+	case errors.As(err, &undetermined):
+		return &UndeterminedError{Cause: err}
+	case errors.As(err, &notLeader) || errors.As(err, &overloaded) || errors.As(err, &tooLarge):
+		return &NotStoredError{Cause: err}
+	}
+	return &UndeterminedError{Cause: err}
+}
+
 func (c *ControlInstance) handleSubmit(ctx context.Context, _ link.Sender, body []byte) (any, error) {
 	var s fleet.Submit
 	if err := link.Decode(body, &s); err != nil {
--- a/internal/core/hub.go
+++ b/internal/core/hub.go
@@ -28,7 +28,9 @@
 	mu       sync.Mutex
 	attached map[string]boottime.Time // entry instance to the time of its last call here
 	known    map[string]boottime.Time // entry instance to the last time it was attached anywhere
-	reported int                      // number of entry instances that the leader knows
+	// reported is the number of entry instances that the leader knew at reportedAt.
+	reported   int
+	reportedAt boottime.Time
 }
 
 func newHub(c *ControlInstance) *hub {
@@ -83,7 +85,7 @@
 func (h *hub) setReportedEntries(count int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reported = count
+	h.reported, h.reportedAt = count, boottime.Now()
 }
 
 // attachedNames returns the entry instances that called here within attachmentTimeout.
@@ -101,6 +103,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	maps.DeleteFunc(h.known, func(_ string, at boottime.Time) bool { return now.Sub(at) > entryRetention })
+	if h.reportedAt == 0 || now.Sub(h.reportedAt) > entryRetention {
+		return len(h.known) // this instance leads, or the report is too old
+	}
 	return max(len(h.known), h.reported)
 }
 
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -60,18 +60,19 @@
 	writeBody(w, c, []byte(`{"number":`+strconv.FormatUint(result.Number, 10)+`}`))
 }
 
-// httpStatus returns 503 when no leader was known or reachable, so that the configuration was certainly
-// not stored, and 504 for all other errors, including an unknown outcome.
+// httpStatus returns 503 when the configuration was certainly not stored, since no leader was known or reachable
+// or the log did not accept it, and 504 for all other errors, including an unknown outcome.
 func httpStatus(err error) int {
 	var unreachable *link.UnreachableError
 	var remote *link.RemoteError
 	var noLeader *NoLeaderError
+	var notStored *NotStoredError
 	switch {
-	case errors.As(err, &noLeader):
+	case errors.As(err, &noLeader) || errors.As(err, &notStored):
 		return http.StatusServiceUnavailable
 	case errors.As(err, &unreachable) && !unreachable.Sent:
 		return http.StatusServiceUnavailable
-	case errors.As(err, &remote) && remote.Code == noLeader.Code():
+	case errors.As(err, &remote) && (remote.Code == noLeader.Code() || remote.Code == notStored.Code()):
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusGatewayTimeout
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -37,9 +37,11 @@
 	id        uint64
 	request   placement.Request // its times are readings of clock
 	decision  chan slotDecision // capacity 1
-	engine    string            // engine on which the request holds a slot, or empty
-	started   bool              // the first event of the response has arrived
 	withdrawn bool              // the worker has handled Cancel
+	engine    string            // engine on which the request holds a slot, or empty
+	grantedAt time.Duration
+	// firstEventAt is the time of the first event of the response, 0 while there is none.
+	firstEventAt time.Duration
 }
 
 // slotDecision is the decision about a ticket: an engine, or a reason for the rejection.
@@ -226,7 +228,7 @@
 	case eventCancel:
 		p.cancel(now, e.ticket)
 	case eventFirstEvent:
-		e.ticket.started = true
+		e.ticket.firstEventAt = now
 		p.pendingUpdate().Starts = append(p.pendingUpdate().Starts, e.ticket.id)
 		p.local.FirstEvent(now, placementID(e.ticket))
 	case eventEnd:
@@ -335,10 +337,10 @@
 	if t.engine != "" {
 		return // duplicate grant
 	}
-	t.engine = decision.engine.ID
+	t.engine, t.grantedAt = decision.engine.ID, now
 	decision.at = now
 	if decision.allocator != "" {
-		p.local.AddRunning(now, placementRequest(t), t.engine, false)
+		p.local.AddRunning(placementRequest(t), t.engine, now, 0)
 	}
 	t.decision <- decision
 }
@@ -427,7 +429,11 @@
 			u.Arrivals = append(u.Arrivals, newFleetRequest(now, t))
 			continue
 		}
-		u.Runs = append(u.Runs, fleet.Run{Request: newFleetRequest(now, t), Engine: t.engine, Started: t.started})
+		run := fleet.Run{Request: newFleetRequest(now, t), Engine: t.engine, GrantAgeMS: (now - t.grantedAt).Milliseconds()}
+		if t.firstEventAt != 0 {
+			run.Started, run.FirstEventAgeMS = true, (now - t.firstEventAt).Milliseconds()
+		}
+		u.Runs = append(u.Runs, run)
 	}
 	return u
 }
--- a/internal/exchange/window.go
+++ b/internal/exchange/window.go
@@ -8,8 +8,12 @@
 	mask        uint64 // bit i: number high-1-i was accepted
 }
 
-// maxOrigins limits the number of remembered origins; there are at most as many as instances.
-const maxOrigins = 4096
+// maxOrigins limits the number of remembered origins of each class of messages; there are at most as many as
+// instances. classCount is the number of classes.
+const (
+	maxOrigins = 4096
+	classCount = 2
+)
 
 // accept reports whether a message has not been accepted before, and records it.
 func (e *Exchange) accept(class string, o origin) bool {
@@ -18,7 +22,7 @@
 	}
 	w, known := e.windows[class+o.Instance]
 	switch {
-	case !known && len(e.windows) >= maxOrigins:
+	case !known && len(e.windows) >= classCount*maxOrigins:
 		return false
 	case !known || o.Incarnation > w.incarnation:
 		w = &receiveWindow{incarnation: o.Incarnation}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -128,6 +128,9 @@
 	Request Request `cbor:"1,keyasint"`
 	Engine  string  `cbor:"2,keyasint"`
 	Started bool    `cbor:"3,keyasint,omitempty"` // the first event has arrived
+	// Times at the creation of the update: since the grant, and since the first event if Started is set.
+	GrantAgeMS      int64 `cbor:"4,keyasint,omitempty"`
+	FirstEventAgeMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // End reports the end of a run.
--- a/placement/core.go
+++ b/placement/core.go
@@ -47,21 +47,17 @@
 type service struct {
 	name    string
 	engines []*engine
-	waiting []*trackedRequest
-	routes  map[string]*routeStats // keyed by route name
+	// meanSlots is the mean number of slots of the engines, rounded to the nearest integer.
+	meanSlots int
+	waiting   []*trackedRequest
+	routes    map[string]*routeStats // keyed by route name
 	// reviewAt is the time of the next re-estimation of the expected waits.
 	reviewAt       time.Duration
 	recentArrivals arrivals
 }
 
-// slots returns the number of slots of the first engine of the service, which is used as the number of
-// slots of every engine of the service, or 1 if there is no engine.
-func (s *service) slots() int {
-	for _, e := range s.engines {
-		return e.Slots
-	}
-	return 1
-}
+// slots returns the mean number of slots of the engines of the service, or 1 if there is no engine.
+func (s *service) slots() int { return max(s.meanSlots, 1) }
 
 // New returns a Core without engines.
 func New() *Core {
@@ -110,7 +106,16 @@
 	}
 	for _, s := range c.services {
 		slices.SortFunc(s.engines, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+		s.setMeanSlots()
+	}
+}
+
+func (s *service) setMeanSlots() {
+	total := 0
+	for _, e := range s.engines {
+		total += e.Slots
 	}
+	s.meanSlots = int(math.Round(float64(total) / float64(max(len(s.engines), 1))))
 }
 
 func (c *Core) service(name string) *service {
@@ -192,8 +197,8 @@
 }
 
 // AddRunning adds a request that already runs on an engine. Owners report such requests after this core
-// was started or was unreachable.
-func (c *Core) AddRunning(now time.Duration, r Request, engineID string, started bool) {
+// was started or was unreachable. firstEventAt is 0 while no event has arrived.
+func (c *Core) AddRunning(r Request, engineID string, grantedAt, firstEventAt time.Duration) {
 	if tracked := c.requests[r.ID]; tracked != nil {
 		if tracked.engine != nil {
 			tracked.releaseAt = 0
@@ -203,7 +208,7 @@
 		c.removeWaiting(tracked)
 		delete(c.requests, r.ID)
 	}
-	tracked := &trackedRequest{Request: r, grantedAt: now, started: started, firstEventAt: now}
+	tracked := &trackedRequest{Request: r, grantedAt: grantedAt, started: firstEventAt != 0, firstEventAt: firstEventAt}
 	c.requests[r.ID] = tracked
 	s := c.service(r.Service)
 	tracked.outputTokens = s.routeStats(r.Route).expectedOutput(&r)
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -413,3 +413,39 @@
 	is.Equal(len(grants), 1)
 	is.Equal(grants[0].Request, RequestID("begun"))
 }
+
+// TestStepTimeAfterChangeOfAllocator guards against step times that come out too low because a run was reported to
+// a new allocator in the middle of its output: the output of the whole run was divided by the time since the
+// report.
+func TestStepTimeAfterChangeOfAllocator(t *testing.T) {
+	is := is.New(t)
+	stepTime := func(reported bool) float64 {
+		c := New()
+		c.SetEngines([]Engine{testEngine("e", 4)})
+		for i := range 20 {
+			at := time.Duration(i) * 10 * time.Second
+			r := testRequest(fmt.Sprint(i))
+			if !reported {
+				c.AddRunning(r, "e", at, 0)
+				c.FirstEvent(at+100*time.Millisecond, r.ID)
+			} else {
+				c.AddRunning(r, "e", at, at+100*time.Millisecond)
+			}
+			c.End(at+2100*time.Millisecond, r.ID, OutcomeCompleted, 400)
+		}
+		return c.latency.stepMS
+	}
+	is.Equal(stepTime(false), stepTime(true))
+}
+
+// TestCapacityCountsAllSlots guards against a capacity that is computed from the slots of one engine while the
+// engines of the service differ.
+func TestCapacityCountsAllSlots(t *testing.T) {
+	is := is.New(t)
+	for _, slots := range [][]int{{2, 30}, {30, 2}} {
+		c := New()
+		c.SetEngines([]Engine{testEngine("a", slots[0]), testEngine("b", slots[1])})
+		is.Equal(c.slotCapacity(0, c.service("s")), 32.0)
+		is.Equal(c.service("s").slots(), 16)
+	}
+}
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -24,7 +24,7 @@
 // the capacity that future arrivals leave. If the request would miss its due time, its value drops and
 // more work goes ahead of it.
 func (c *Core) expectedWait(now time.Duration, s *service, r *trackedRequest) time.Duration {
-	return c.estimateWait(now, c.capacity(now, s)*float64(s.slots()), r, func(density float64) demand {
+	return c.estimateWait(now, c.slotCapacity(now, s), r, func(density float64) demand {
 		d := demand{load: s.recentArrivals.load(now, density)}
 		for _, other := range s.waiting {
 			if other != r && other.currentDensity(now) >= density {
@@ -91,7 +91,7 @@
 		waiting = append(waiting, workItem{r.currentDensity(now), c.latency.slotTime(r, s.slots())})
 	}
 	queue, arriving := newWorkByDensity(waiting), newWorkByDensity(s.recentArrivals.since(now-arrivalWindow))
-	slots := c.capacity(now, s) * float64(s.slots())
+	slots := c.slotCapacity(now, s)
 	c.rejectWaiting(now, s, func(i int, r *trackedRequest) (Reason, time.Duration) {
 		wait := c.estimateWait(now, slots, r, func(density float64) demand {
 			d := demand{work: queue.atLeast(density), load: arriving.atLeast(density).Seconds() / arrivalWindow.Seconds()}
@@ -110,12 +110,22 @@
 
 // capacity returns the combined speed of the engines of a service, in engines of average speed.
 func (c *Core) capacity(now time.Duration, s *service) float64 {
+	return c.sumSpeed(now, s, func(*engine) float64 { return 1 })
+}
+
+// slotCapacity returns the combined speed of the slots of a service, in slots of an engine of average speed.
+func (c *Core) slotCapacity(now time.Duration, s *service) float64 {
+	return c.sumSpeed(now, s, func(e *engine) float64 { return float64(e.Slots) })
+}
+
+// sumSpeed adds up the speeds of the engines of a service, each multiplied by its weight.
+func (c *Core) sumSpeed(now time.Duration, s *service, weight func(*engine) float64) float64 {
 	total := 0.0
 	for _, e := range s.engines {
 		if c.scope != "" && e.DataCentre != c.scope || e.Leaving {
 			continue
 		}
-		speed := 1 / max(e.slowness, 0.1)
+		speed := weight(e) / max(e.slowness, 0.1)
 		if now < e.suspendedUntil {
 			speed *= suspendedSpeed // The engine resumes before most of the waiting work is done.
 		}
