--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -41,6 +41,8 @@
 	queueTime   time.Duration // total time spent waiting for slots
 	timeToFirst time.Duration // from the arrival to the first event or the complete response
 	eventsSent  int           // events relayed to the caller
+	lastEventAt time.Duration // time of the last event that was relayed
+	longestGap  time.Duration // longest pause between two events
 	lastEventID int           // ID of the last event relayed, 0 while there is none
 	retries     int           // engines to which the request was sent after the first one
 	headerSent  bool          // the header of the response was sent to the caller
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -83,7 +83,7 @@
 	}
 	if x.engine != "" {
 		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.retries).
-			Int("events", x.eventsSent).Dur("first", x.timeToFirst)
+			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
 	if x.cause != "" && why != reasonAnswered {
 		event.Str("cause", x.cause)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -116,13 +116,22 @@
 		if err := x.flush(); err != nil {
 			return resultCallerLeft
 		}
-		x.eventsSent++
+		x.recordEvent(clock())
 		if numbered {
 			x.lastEventID = id
 		}
 	}
 }
 
+// recordEvent counts an event that was relayed and records the pause before it.
+func (x *exchange) recordEvent(now time.Duration) {
+	if x.eventsSent > 0 {
+		x.longestGap = max(x.longestGap, now-x.lastEventAt)
+	}
+	x.eventsSent++
+	x.lastEventAt = now
+}
+
 // sendHeader sends the status and header of the response to the caller, unless an earlier send has done so.
 func (x *exchange) sendHeader(r *http.Response) {
 	if x.headerSent {
