Serve workspaces beyond their quota while slots are idle, within the users' tolerance

The users accept a tolerance beyond the quota, which was not used.

Change: while a slot is free and no request waits, a workspace may spend up to 0.4 of the tolerance in a window beyond its quota. The rest of it and the overrun remain for the time in which a former allocator still spends.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -157,7 +157,8 @@
 			continue
 		}
 		c.options.Logger.Info().Uint64("number", r.Number).Int("bytes", len(r.Content)).Msg("configuration stored")
-		c.allocator.SetQuotas(placement.QuotaLimits(table.Workspaces(), c.options.Settings.Bounds.QuotaWindow))
+		bounds := &c.options.Settings.Bounds
+		c.allocator.SetQuotas(placement.QuotaLimits(table.Workspaces(), bounds.QuotaWindow, bounds.QuotaTolerance))
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,8 @@
 }
 
 func (e *Edge) tableInstalled(t *routing.Table) {
-	limits := placement.QuotaLimits(t.Workspaces(), e.options.Settings.Bounds.QuotaWindow)
+	bounds := &e.options.Settings.Bounds
+	limits := placement.QuotaLimits(t.Workspaces(), bounds.QuotaWindow, bounds.QuotaTolerance)
 	e.placer.post(placerEvent{kind: eventQuotas, limits: limits})
 	e.configuredOnce.Do(func() { close(e.configured) })
 }
--- a/placement/core.go
+++ b/placement/core.go
@@ -166,7 +166,7 @@
 	if c.requests[r.ID] != nil {
 		return
 	}
-	if wait, ok := c.spend(now, r.Workspace, r.Charge); !ok {
+	if wait, ok := c.spend(now, r.Workspace, r.Charge, c.hasIdleSlot(now, c.service(r.Service))); !ok {
 		c.reject(now, &trackedRequest{Request: r}, ReasonQuota, wait, 0)
 		return
 	}
@@ -196,6 +196,11 @@
 	s.waiting = append(s.waiting, tracked)
 }
 
+// hasIdleSlot reports whether a slot is free and no request waits for one.
+func (c *Core) hasIdleSlot(now time.Duration, s *service) bool {
+	return len(s.waiting) == 0 && len(c.freeEngines(now, s)) > 0
+}
+
 // AddRunning adds a request that already runs on an engine. Owners report such requests after this core
 // was started or was unreachable. firstEventAt is 0 while no event has arrived.
 func (c *Core) AddRunning(r Request, engineID string, grantedAt, firstEventAt time.Duration) {
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -13,8 +13,15 @@
 	Burst     float64 // units
 	// Window is the period in which at most Rate * Window + Burst units may be spent.
 	Window time.Duration
+	// Slack is what may be spent in a window beyond Rate * Window + Burst, in units. It is spent only while slots
+	// are idle, so that it takes nothing from other workspaces.
+	Slack float64
 }
 
+// slackCapacity returns the size of the bucket for the slack. Half of the slack can be spent at once; the rest is
+// spread over the window.
+func (l *QuotaLimit) slackCapacity() float64 { return l.Slack / 2 }
+
 // immediateBurstShare is the fraction of a burst that can be spent at once. The rest is spread over the
 // window, so that a workspace that exceeds its rate for a long time receives its complete quota in each
 // window but cannot occupy all engines at once.
@@ -37,11 +44,18 @@
 	return immediateBurstShare * l.Burst
 }
 
-// QuotaLimits returns the quota limits of the given workspaces.
-func QuotaLimits(workspaces []routing.Workspace, window time.Duration) []QuotaLimit {
+// slackShare is the fraction of the users' tolerance that is used as slack. The rest, and the overrun that they
+// accept, is left for the time in which a former allocator still spends.
+const slackShare = 0.4
+
+// QuotaLimits returns the quota limits of the given workspaces. tolerance is the number of units that the users
+// accept in a window beyond the quota.
+func QuotaLimits(workspaces []routing.Workspace, window time.Duration, tolerance float64) []QuotaLimit {
 	limits := make([]QuotaLimit, 0, len(workspaces))
 	for _, w := range workspaces {
-		limits = append(limits, QuotaLimit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst, Window: window})
+		limits = append(limits, QuotaLimit{
+			Workspace: w.Name, Rate: w.Rate, Burst: w.Burst, Window: window, Slack: slackShare * tolerance,
+		})
 	}
 	return limits
 }
@@ -50,6 +64,7 @@
 type tokenBucket struct {
 	QuotaLimit
 	level         float64 // units available; negative after charges by other instances
+	slack         float64 // units of the slack available; 0 at first, as a former allocator may have spent it
 	updated       time.Duration
 	reservedUntil time.Duration // the refill up to this time is reserved for rejected callers
 }
@@ -91,13 +106,20 @@
 }
 
 func (c *Core) refill(now time.Duration, q *tokenBucket) {
-	q.level = min(q.level+q.refillRate()*c.quotaShare*(now-q.updated).Seconds(), q.capacity()*c.quotaShare)
+	elapsed := (now - q.updated).Seconds()
+	q.level = min(q.level+q.refillRate()*c.quotaShare*elapsed, q.capacity()*c.quotaShare)
+	if q.Window > 0 && c.spendsWholeQuota() {
+		q.slack = min(q.slack+q.slackCapacity()*elapsed/q.Window.Seconds(), q.slackCapacity())
+	}
 	q.updated = now
 }
 
-// spend takes a charge from the quota of a workspace. If the quota does not suffice, it returns the time
-// until it will.
-func (c *Core) spend(now time.Duration, workspace string, charge float64) (wait time.Duration, ok bool) {
+// spendsWholeQuota reports whether this core spends for all instances, so that no other one uses the slack.
+func (c *Core) spendsWholeQuota() bool { return c.quotaShare == 1 }
+
+// spend takes a charge from the quota of a workspace and, if slots are idle, from the slack. If they do not
+// suffice, it returns the time until the quota will.
+func (c *Core) spend(now time.Duration, workspace string, charge float64, idle bool) (wait time.Duration, ok bool) {
 	q := c.quotas[workspace]
 	if q == nil || charge <= 0 {
 		return 0, true // no quota applies, or the request is a retry by the instance, which is not charged again
@@ -105,6 +127,10 @@
 	c.refill(now, q)
 	// A request that is larger than the burst passes when the bucket is full.
 	need := min(charge, q.capacity()*c.quotaShare)
+	if missing := need - q.level; missing > 0 && missing <= q.slack && idle && c.spendsWholeQuota() {
+		q.slack -= missing
+		q.level += missing
+	}
 	if q.level < need {
 		return q.reserve(now, need, max(q.refillRate()*c.quotaShare, 1)), false
 	}
