Spare running streams from long prompts on slow engines

Cause: engines process prompts in chunks between the steps of running streams. On an engine that is four times as slow an event of six tokens is then delayed beyond the pause with which its stream is on time; the choice of engine ignored it.

Change: requests carry the pause that their route allows and the tokens of an event; the value of running streams that a prompt would make late is taken off its value on that engine.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -338,6 +338,7 @@
 		FirstEventDeadline: now + time.Duration(in.FirstEventDeadlineMS)*time.Millisecond,
 		Deadline:           now + time.Duration(in.DeadlineMS)*time.Millisecond,
 		CallerTimeout:      time.Duration(in.CallerTimeoutMS) * time.Millisecond,
+		EventGap:           time.Duration(in.EventGapMS) * time.Millisecond, TokensPerEvent: in.TokensPerEvent,
 	}
 }
 
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -461,5 +461,6 @@
 		FirstEventDeadlineMS: (r.FirstEventDeadline - now).Milliseconds(),
 		DeadlineMS:           (r.Deadline - now).Milliseconds(),
 		CallerTimeoutMS:      r.CallerTimeout.Milliseconds(),
+		EventGapMS:           r.EventGap.Milliseconds(), TokensPerEvent: r.TokensPerEvent,
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -231,6 +231,7 @@
 		PromptTokens: x.tokens.Prompt, ExpectedOutputTokens: x.expectedOutput(),
 		MaxOutputTokens: x.tokens.MaxOutput, ArrivedAt: x.arrived, FirstEventDue: x.dueAt,
 		FirstEventDeadline: x.firstEventDeadline(), Deadline: x.deadline,
+		EventGap: x.route.EventGap, TokensPerEvent: x.service.Model.TokensPerEvent,
 		CallerTimeout: x.callerTimeout, ExcludedEngines: x.excluded, PartlyDelivered: x.headerSent,
 	}
 	if x.workspace != nil {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -120,6 +120,8 @@
 	FirstEventDeadlineMS int64    `cbor:"14,keyasint,omitempty"` // the caller disconnects if no event came by then
 	Route                string   `cbor:"15,keyasint,omitempty"`
 	CallerTimeoutMS      int64    `cbor:"16,keyasint,omitempty"` // timeout stated by the caller
+	EventGapMS           int64    `cbor:"18,keyasint,omitempty"`
+	TokensPerEvent       int      `cbor:"19,keyasint,omitempty"`
 	PartlyDelivered      bool     `cbor:"17,keyasint,omitempty"` // the caller has the first part of the response
 }
 
--- a/placement/core.go
+++ b/placement/core.go
@@ -34,6 +34,7 @@
 	engine       *engine // engine on which it runs; nil while it waits
 	outputTokens float64 // expected number of output tokens
 	likelyRetry  bool    // classified as a retry of a rejected request
+	value        float64 // relative to a request of mean size in the most urgent tier
 	valueDensity float64 // value of an on-time response per second of slot time
 	sizeClass    int     // index into sizeClassBounds, or -1
 	grantedAt    time.Duration
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -45,6 +45,8 @@
 	Deadline             time.Duration // the response is useless afterwards
 	CallerTimeout        time.Duration // as stated by the caller, whatever the route allows; 0 if unknown
 	ExcludedEngines      []string      // IDs of engines that were tried without success
+	EventGap             time.Duration // longest pause between events with which a response is on time; 0 if unknown
+	TokensPerEvent       int           // number of output tokens of an event; 0 if unknown
 	PartlyDelivered      bool          // the caller has received the first part of the response
 }
 
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -43,6 +43,8 @@
 	callerFirstEventTimeout = 3200 * time.Millisecond
 	deadlineSpread          = 0.15                 // fraction of the time that callers allow
 	reportDelay             = 4 * time.Millisecond // delay between an engine and the allocator
+	simulatedTokensPerEvent = 6
+	simulatedEventGap       = 400 * time.Millisecond // longest pause of a stream that is on time
 )
 
 // simulated is a request with data that only the simulation knows.
@@ -53,6 +55,8 @@
 	size         float64 // relative to the mean of its kind
 	value        float64
 	firstEventAt time.Duration // time of the first event, 0 before
+	lastEventAt  time.Duration // time of the most recent event
+	paused       bool          // a pause between two events was too long
 	ended        bool
 	// retryAt is the time at which the caller retries after a rejection, 0 if it was not rejected.
 	retryAt time.Duration
@@ -67,7 +71,8 @@
 	now       time.Duration
 	rejected  map[RequestID]time.Duration // time of the rejection
 	completed map[RequestID]bool
-	retries   []*simulated // callers that were rejected once, unordered
+	retries   []*simulated  // callers that were rejected once, unordered
+	eventGap  time.Duration // stated to the policy; 0 states none
 }
 
 // policy is the scheduler under test: the core or a baseline.
@@ -95,8 +100,14 @@
 
 // simulate runs the complete simulation of a policy at a multiple of the kinds' request rates.
 func simulate(seed uint64, load float64, p policy) *simulation {
+	return simulateWithGap(seed, load, p, simulatedEventGap)
+}
+
+// simulateWithGap is simulate with the longest pause between events that is stated to the policy; 0 states none.
+func simulateWithGap(seed uint64, load float64, p policy, eventGap time.Duration) *simulation {
 	s := &simulation{
-		rand: rand.New(rand.NewPCG(seed, 1)), requests: map[RequestID]*simulated{}, policy: p,
+		eventGap: eventGap,
+		rand:     rand.New(rand.NewPCG(seed, 1)), requests: map[RequestID]*simulated{}, policy: p,
 		rejected: map[RequestID]time.Duration{}, completed: map[RequestID]bool{},
 	}
 	var list []Engine
@@ -179,7 +190,7 @@
 			ExpectedOutputTokens: int(tokens*math.Exp(estimateSpread*s.rand.NormFloat64())) + 1,
 			ArrivedAt:            s.now, FirstEventDue: s.now + k.objective,
 			FirstEventDeadline: min(s.now+callerFirstEventTimeout, deadline), Deadline: deadline,
-			CallerTimeout: deadline - s.now,
+			CallerTimeout: deadline - s.now, EventGap: s.eventGap, TokensPerEvent: simulatedTokensPerEvent,
 		}
 		size := (float64(r.PromptTokens) + outputTokenSize*tokens) / (k.prompt + outputTokenSize*k.output)
 		s.requests[r.ID] = &simulated{request: r, kind: k, tokens: tokens, size: size, value: k.value * min(0.3+0.7*size, 4)}
@@ -230,9 +241,13 @@
 	now := s.now + reportDelay
 	id := r.request.ID
 	if r.firstEventAt == 0 && r.promptLeft <= 0 && r.outputLeft < r.tokens {
-		r.firstEventAt = s.now
+		r.firstEventAt, r.lastEventAt = s.now, s.now
 		s.policy.FirstEvent(now, id)
 	}
+	if r.firstEventAt != 0 && int(r.tokens-r.outputLeft)%simulatedTokensPerEvent == 0 {
+		r.paused = r.paused || s.now-r.lastEventAt > simulatedEventGap
+		r.lastEventAt = s.now
+	}
 	switch {
 	case r.firstEventAt == 0 && s.now > r.request.FirstEventDeadline, s.now > r.request.Deadline:
 		r.ended = true
@@ -267,6 +282,53 @@
 	return byTier, (achieved[0] + achieved[1] + achieved[2]) / (possible[0] + possible[1] + possible[2])
 }
 
+// valueWithPauses returns the achieved fraction of the total value, where a response with too long a pause counts as
+// late, and the fraction of the completed responses that had one.
+func (s *simulation) valueWithPauses() (value, paused float64) {
+	var possible, achieved, completed, withPause float64
+	for id, q := range s.requests {
+		if q.request.Deadline > simulatedTime || id != q.request.ID {
+			continue
+		}
+		possible += q.value
+		if !s.completed[id] {
+			continue
+		}
+		completed++
+		switch {
+		case q.paused:
+			withPause++
+			achieved += lateValue * q.value
+		case q.firstEventAt > q.request.FirstEventDue:
+			achieved += lateValue * q.value
+		default:
+			achieved += q.value
+		}
+	}
+	return achieved / possible, withPause / completed
+}
+
+// TestLongPromptsSpareRunningStreams guards against long prompts on slow engines whose running streams then pause for
+// too long. It plays the usual load and one beyond saturation, with and without the pauses that the routes allow
+// stated to the core, and checks what callers get.
+func TestLongPromptsSpareRunningStreams(t *testing.T) {
+	for _, load := range []float64{0.8, 1.0, 1.5} {
+		var value, paused, valueWithout, pausedWithout float64
+		const seeds = 4
+		for seed := range uint64(seeds) {
+			v, p := simulateWithGap(seed+1, load, New(), simulatedEventGap).valueWithPauses()
+			value, paused = value+v/seeds, paused+p/seeds
+			v, p = simulateWithGap(seed+1, load, New(), 0).valueWithPauses()
+			valueWithout, pausedWithout = valueWithout+v/seeds, pausedWithout+p/seeds
+		}
+		t.Logf("load %.1f: value %.4f, paused %.4f; without the stated pause: value %.4f, paused %.4f",
+			load, value, paused, valueWithout, pausedWithout)
+		if paused > pausedWithout || value < valueWithout-0.005 {
+			t.Errorf("load %.1f: long prompts do not spare running streams", load)
+		}
+	}
+}
+
 // leastLoaded is the baseline: requests are served in order of arrival by the engine with the fewest
 // requests.
 type leastLoaded struct {
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -63,11 +63,12 @@
 	if r.PartlyDelivered {
 		value *= partlyDeliveredFactor
 	}
+	r.value = value
 	r.valueDensity = value / math.Pow((c.latency.slotTime(r, s.slots())+minWork).Seconds(), workExponent)
 }
 
 // bestEngine returns the free engine that serves a request best, and the fraction of its value that the
-// request can still achieve there.
+// request can still achieve there, less the value that it takes from running streams.
 func (c *Core) bestEngine(now time.Duration, r *trackedRequest, free []*engine) (*engine, float64) {
 	var best *engine
 	var value float64
@@ -76,7 +77,7 @@
 		if r.excludes(e.ID) || e.restsFor(now, r.Owner) {
 			continue
 		}
-		v, cost := c.valueAt(now, r, e), c.costAt(r, e)
+		v, cost := c.valueAt(now, r, e)-c.harmAt(r, e), c.costAt(r, e)
 		if best == nil || v > value || v == value && cost < lowestCost {
 			best, value, lowestCost = e, v, cost
 		}
@@ -97,6 +98,31 @@
 	return 1
 }
 
+// chunkTokens is the number of prompt tokens that an engine is assumed to process between two steps of its running
+// requests. The users' engines use 2,048 and 4,096.
+const chunkTokens = 3000
+
+// harmAt returns the value that running streams lose on an engine, relative to the value of r, because the prompt of
+// r would delay their events beyond the pause with which they are on time. A prompt is processed in chunks between
+// the steps of the running streams, so that an event is delayed by one chunk for each of its tokens.
+func (c *Core) harmAt(r *trackedRequest, e *engine) float64 {
+	if r.value <= 0 {
+		return 0
+	}
+	perToken := nominalPrefillMS * e.slowness
+	harm := 0.0
+	for _, other := range e.runs {
+		if !other.started || other.EventGap <= 0 {
+			continue
+		}
+		delayed := min(float64(r.PromptTokens), float64(other.TokensPerEvent)*chunkTokens)
+		if milliseconds(delayed*perToken) > other.EventGap {
+			harm += (1 - lateValue) * other.value
+		}
+	}
+	return harm / r.value
+}
+
 // costAt returns the time until a request would end on an engine, increased with the number of requests
 // that run there and by remoteDataCentreCost for an engine in another data centre.
 func (c *Core) costAt(r *trackedRequest, e *engine) time.Duration {
