Learn the speed at which engines process prompts

Change: the prefill time is learned from the first events of runs that had their engine's prefill for themselves, as a quantile of the measured times relative to the engine's learned slowness. The time after which a silent engine gets no more requests follows it.

--- a/placement/core.go
+++ b/placement/core.go
@@ -39,9 +39,13 @@
 	sizeClass    int     // index into sizeClassBounds, or -1
 	grantedAt    time.Duration
 	// releaseAt is the time at which the slot of a run whose owner is silent is freed; 0 if its owner reports.
-	releaseAt    time.Duration
-	started      bool // the first event has arrived
-	firstEventAt time.Duration
+	releaseAt time.Duration
+	alone     bool // no other prompt was pending on the engine at the grant
+	// firstEventLimit is the time after the grant from which the engine counts as unresponsive if no event has
+	// arrived from it since.
+	firstEventLimit time.Duration
+	started         bool // the first event has arrived
+	firstEventAt    time.Duration
 }
 
 // service is the queue and the engines of one service.
@@ -218,6 +222,7 @@
 	c.requests[r.ID] = tracked
 	s := c.service(r.Service)
 	tracked.outputTokens = s.routeStats(r.Route).expectedOutput(&r)
+	tracked.firstEventLimit = c.firstEventLimit(tracked)
 	c.setDensity(s, tracked)
 	e := c.engines[engineID]
 	if e == nil {
@@ -269,6 +274,9 @@
 		return
 	}
 	r.started, r.firstEventAt = true, now
+	if r.alone {
+		c.latency.learnPrefill(r.engine, now-r.grantedAt, r.PromptTokens)
+	}
 	before := r.engine.health()
 	r.engine.recordResponse(now)
 	c.recordHealthChange(r.engine, before, OutcomeCompleted)
@@ -401,12 +409,20 @@
 	}
 	c.removeWaiting(r)
 	r.grantedAt = now
+	r.alone = e.pendingPromptTokens() == 0
+	r.firstEventLimit = c.firstEventLimit(r)
 	s.routeStats(r.Route).rates.serve(r.sizeClass)
 	e.add(r)
 	c.grants = append(c.grants, Grant{Request: r.ID, Owner: r.Owner, Engine: e.Engine, Running: len(e.runs)})
 	return true
 }
 
+// firstEventLimit returns how long after its grant a run may go without a first event before its engine counts as
+// unresponsive.
+func (c *Core) firstEventLimit(r *trackedRequest) time.Duration {
+	return firstEventTimeout + 3*c.latency.minTimeToFirstEvent(r)
+}
+
 // freeEngines returns the engines of a service that have a free slot.
 func (c *Core) freeEngines(now time.Duration, s *service) []*engine {
 	var free []*engine
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -94,19 +94,13 @@
 // arrived from the engine since the run was granted.
 func (e *engine) unresponsive(now time.Duration) bool {
 	for _, r := range e.runs {
-		if !r.started && now-r.grantedAt > firstEventTimeout+r.prefillTime()*time.Duration(3) &&
-			e.lastResponse < r.grantedAt {
+		if !r.started && now-r.grantedAt > r.firstEventLimit && e.lastResponse < r.grantedAt {
 			return true
 		}
 	}
 	return false
 }
 
-// prefillTime returns the time in which an engine of average speed processes the prompt of a request.
-func (r *trackedRequest) prefillTime() time.Duration {
-	return time.Duration(float64(r.PromptTokens) * nominalPrefillMS * float64(time.Millisecond))
-}
-
 func (e *engine) recordResponse(now time.Duration) {
 	e.lastResponse = now
 	e.probation = false
--- a/placement/latency.go
+++ b/placement/latency.go
@@ -4,10 +4,9 @@
 
 // Initial values of the latency model.
 const (
-	// nominalPrefillMS and nominalStepMS are the times of an engine of average speed, in milliseconds per
-	// token, from the users' description of their engines: 101 prompt tokens are processed in a
-	// millisecond, and a decode step takes 2.97 ms and a little more for every running request.
-	// nominalStepMS is the initial value of the learned step time.
+	// nominalPrefillMS and nominalStepMS are the initial times of an engine of average speed, in milliseconds
+	// per token: 101 prompt tokens are processed in a millisecond, and a decode step takes 2.97 ms and a little
+	// more for every running request, as with most of the users' engines. The platform states no speeds.
 	nominalPrefillMS = 1.0 / 101
 	nominalStepMS    = 3.4
 )
@@ -21,12 +20,47 @@
 	slownessWarmup = 5
 )
 
+// Parameters for learning the prefill time from first events.
+const (
+	// minLearnedPrompt is the length of the shortest prompt that is learned from, in tokens. The time to the
+	// first event of a shorter one consists mostly of other delays.
+	minLearnedPrompt = 1500
+	// prefillOverhead is the time from a grant to the first event in addition to that of the prompt.
+	prefillOverhead = 10 * time.Millisecond
+	// prefillQuantile is the quantile of the measured times that is learned. Many are too long, because the
+	// engine processes the steps of running requests in between.
+	prefillQuantile = 0.4
+	// prefillStep is the relative change with each measurement.
+	prefillStep = 0.03
+	// maxPrefillFactor bounds the learned time relative to the nominal one, in both directions.
+	maxPrefillFactor = 30
+)
+
 // latencyModel estimates how long requests take.
 type latencyModel struct {
-	stepMS float64 // milliseconds per output token, mean of all engines
+	stepMS    float64 // milliseconds per output token, mean of all engines
+	prefillMS float64 // milliseconds per prompt token, of an engine of average speed
+}
+
+func newLatencyModel() latencyModel {
+	return latencyModel{stepMS: nominalStepMS, prefillMS: nominalPrefillMS}
 }
 
-func newLatencyModel() latencyModel { return latencyModel{stepMS: nominalStepMS} }
+// learnPrefill updates the prefill time with the time from the grant of a run to its first event. No other prompt
+// was pending on the engine at the grant.
+func (m *latencyModel) learnPrefill(e *engine, took time.Duration, tokens int) {
+	if tokens < minLearnedPrompt || e.slownessSamples < slownessWarmup {
+		return
+	}
+	prefill := max(took-prefillOverhead, took/2)
+	measured := float64(prefill) / float64(time.Millisecond) / float64(tokens) / max(e.slowness, 0.1)
+	if measured > m.prefillMS {
+		m.prefillMS *= 1 + prefillStep*prefillQuantile
+	} else {
+		m.prefillMS *= 1 - prefillStep*(1-prefillQuantile)
+	}
+	m.prefillMS = min(max(m.prefillMS, nominalPrefillMS/maxPrefillFactor), nominalPrefillMS*maxPrefillFactor)
+}
 
 // learn updates the step time and the slowness of an engine with the time of a run from its first event to
 // its end.
@@ -44,12 +78,12 @@
 
 // minTimeToFirstEvent returns the time to the first event of a request on an idle engine of average speed.
 func (m *latencyModel) minTimeToFirstEvent(r *trackedRequest) time.Duration {
-	return milliseconds(float64(r.PromptTokens) * nominalPrefillMS)
+	return milliseconds(float64(r.PromptTokens) * m.prefillMS)
 }
 
 // timeToFirstEvent estimates the time to the first event of a request on an engine.
 func (m *latencyModel) timeToFirstEvent(e *engine, r *trackedRequest) time.Duration {
-	return milliseconds((e.pendingPromptTokens() + float64(r.PromptTokens)) * nominalPrefillMS * e.slowness)
+	return milliseconds((e.pendingPromptTokens() + float64(r.PromptTokens)) * m.prefillMS * e.slowness)
 }
 
 // timeToFinish estimates the time to the end of a request on an engine.
@@ -60,7 +94,7 @@
 // slotTime estimates how long a request occupies a slot of an engine of average speed. Prompt processing
 // stalls the other slots as well, so it counts once per slot.
 func (m *latencyModel) slotTime(r *trackedRequest, slots int) time.Duration {
-	return milliseconds(float64(r.PromptTokens)*nominalPrefillMS*float64(max(slots, 1)) + r.outputTokens*m.stepMS)
+	return milliseconds(float64(r.PromptTokens)*m.prefillMS*float64(max(slots, 1)) + r.outputTokens*m.stepMS)
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -109,7 +109,7 @@
 	if r.value <= 0 {
 		return 0
 	}
-	perToken := nominalPrefillMS * e.slowness
+	perToken := c.latency.prefillMS * e.slowness
 	harm := 0.0
 	for _, other := range e.runs {
 		if !other.started || other.EventGap <= 0 {
