Keep what an allocator has learned across a change of allocator and a restart

Cause: a new allocator took all engines for equally fast and all responses for 256 tokens, although a third of the engines is four times as slow, until it had learned both again from its own runs. Every loss of the leader and every restart of the core cost that.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,8 +46,8 @@
 	Metrics    *metrics.Set
 }
 
-// Allocator is the worker that owns the placement core. The methods SetEngines, SetQuotas, SetRole and
-// HandleUpdate may be called from any goroutine.
+// Allocator is the worker that owns the placement core. The methods SetEngines, SetQuotas, SetRole, TakeOver,
+// Learned and HandleUpdate may be called from any goroutine.
 type Allocator struct {
 	options Options
 	events  *ring.Ring[event]
@@ -57,8 +58,10 @@
 	silent            map[string]uint64 // incarnations of instances that fell silent, by name
 	leads             bool
 	grantsPausedUntil time.Duration
-	lastRun           time.Duration // time of the last decision
-	entryInstances    int           // number of entry instances in the whole system
+	lastRun           time.Duration                     // time of the last decision
+	entryInstances    int                               // number of entry instances in the whole system
+	learned           atomic.Pointer[placement.Learned] // published at publishedAt
+	publishedAt       time.Duration
 
 	granted, rejected, dropped *metrics.Counter
 	waiting                    *metrics.Histogram
@@ -76,12 +79,13 @@
 	decisions   *fleet.Decisions // message being built; nil if there is nothing to send
 }
 
-// event is an input of the worker. Exactly one of update, engines, limits and role is set.
+// event is an input of the worker. Exactly one of update, engines, limits, learned and role is set.
 type event struct {
 	from    link.Sender
 	update  *fleet.Update
 	engines []placement.Engine     // new list of engines, not nil if set
 	limits  []placement.QuotaLimit // new quota limits, not nil if set
+	learned *placement.Learned     // what another allocator has learned
 	role    *role
 }
 
@@ -132,6 +136,29 @@
 	a.enqueue(event{role: &role{leads, entryInstances}})
 }
 
+// TakeOver passes what another allocator has learned.
+func (a *Allocator) TakeOver(l placement.Learned) { a.enqueue(event{learned: &l}) }
+
+// Learned returns what this allocator had learned up to publishInterval ago.
+func (a *Allocator) Learned() placement.Learned {
+	if l := a.learned.Load(); l != nil {
+		return *l
+	}
+	return placement.Learned{}
+}
+
+// publishInterval is the interval at which the result of Learned is updated.
+const publishInterval = time.Second
+
+func (a *Allocator) publishLearned(now time.Duration) {
+	if now-a.publishedAt < publishInterval {
+		return
+	}
+	a.publishedAt = now
+	l := a.core.Learned()
+	a.learned.Store(&l)
+}
+
 // enqueue queues an event, or drops it if the ring is full. A missed update is requested again; engines,
 // quotas and roles are set again with every change and every heartbeat.
 func (a *Allocator) enqueue(e event) {
@@ -151,6 +178,7 @@
 		a.removeSilentOwners(now)
 		a.decide(now)
 		a.send()
+		a.publishLearned(now)
 	})
 }
 
@@ -191,6 +219,8 @@
 		a.core.SetEngines(a.notices.Apply(now, e.engines))
 	case e.limits != nil:
 		a.core.SetQuotas(now, e.limits)
+	case e.learned != nil:
+		a.core.TakeOver(*e.learned)
 	case e.role != nil:
 		a.setRole(now, *e.role)
 	}
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -130,6 +130,7 @@
 		return fleet.Confirmed{}, err
 	}
 	request := fleet.Confirm{EntryInstances: c.hub.attachedNames(), WithContent: withContent, EnginesDigest: c.directory.State().Digest}
+	request.WithLearned = c.learnedDue()
 	if leader == c.name {
 		return c.confirmAsLeader(ctx, request)
 	}
@@ -140,6 +141,9 @@
 	}
 	c.directory.Merge(reply.Engines, requestedAt)
 	c.hub.setReportedEntries(reply.EntryInstances)
+	if reply.Learned != nil {
+		c.allocator.TakeOver(*reply.Learned)
+	}
 	return reply, nil
 }
 
@@ -154,6 +158,10 @@
 	if request.WithContent {
 		reply.Content = current.Content
 	}
+	if request.WithLearned {
+		l := c.allocator.Learned()
+		reply.Learned = &l
+	}
 	return reply, nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,8 @@
 	isLeader             atomic.Bool            // whether this instance is the leader
 	leader               atomic.Pointer[string] // last observed leader
 	configurationChanged chan struct{}          // signals that a new configuration was stored
+	learned              learnedFile
+	learnedAskedAt       atomic.Int64 // boottime.Time of the last request for what the leader has learned
 }
 
 // New opens the data folder and creates all workers; Run starts them.
@@ -75,6 +77,8 @@
 	c.allocator = allocator.New(allocator.Options{
 		Caller: node, DataCentre: s.DataCentre, Logger: o.Logger, Metrics: o.Metrics,
 	})
+	c.learned = newLearnedFile(s.DataFolder)
+	c.restoreLearned()
 	c.hub = newHub(c)
 	c.directory = directory.New(directory.Options{
 		Address: s.Directory.Address, Interval: directoryInterval, OnChange: c.enginesChanged, ReadNeeded: c.shouldReadDirectory,
@@ -184,6 +188,7 @@
 	workers.Start("directory", c.directory.Run)
 	workers.Start("role", c.watchLeader)
 	workers.Start("configuration", c.watchConfiguration)
+	workers.Start("learned", c.saveLearned)
 	workers.Start("operators", monitor.Serve(operatorServer))
 	workers.Start("metrics", monitor.Serve(metricsServer))
 	c.options.Logger.Info().Str("operators", operatorServer.Addr).Bool("firstStart", c.options.Settings.Bootstrap).Msg("control instance started")
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -46,6 +46,7 @@
 	// EnginesDigest is the digest of the sender's list of engines. Only the leader reads the platform's
 	// list, because the platform limits the calls and charges for them.
 	EnginesDigest uint64 `cbor:"3,keyasint,omitempty"`
+	WithLearned   bool   `cbor:"4,keyasint,omitempty"` // requests what the leader's allocator has learned
 }
 
 // Confirmed is the reply to Confirm.
@@ -54,6 +55,8 @@
 	EntryInstances int        `cbor:"2,keyasint,omitempty"`
 	Content        []byte     `cbor:"3,keyasint,omitempty"` // set if Confirm.WithContent is set
 	Engines        EngineList `cbor:"4,keyasint,omitempty"`
+	// Learned is set if Confirm.WithLearned is set.
+	Learned *placement.Learned `cbor:"5,keyasint,omitempty"`
 }
 
 // EngineList is a list of engines, or the difference to a list that the receiver already has.
--- a/placement/core.go
+++ b/placement/core.go
@@ -20,6 +20,8 @@
 	quotaShare float64 // fraction of each quota that this core may spend
 	latency    latencyModel
 	detached   map[RequestID]*trackedRequest // runs whose owner is silent
+	// learnedSlowness holds what was taken over about engines that are not listed yet.
+	learnedSlowness map[string]LearnedEngine
 	// scope is the data centre to which grants are limited; empty means that all engines are used.
 	scope string
 
@@ -95,6 +97,9 @@
 		if e == nil {
 			e = newEngine(listed)
 			c.engines[listed.ID] = e
+			if learned, known := c.learnedSlowness[listed.ID]; known {
+				e.slowness, e.slownessSamples = learned.Slowness, learned.Samples
+			}
 		}
 		e.update(listed)
 		s := c.service(listed.Service)
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -74,6 +74,8 @@
 	retries   []*simulated  // callers that were rejected once, unordered
 	eventGap  time.Duration // stated to the policy; 0 states none
 	prefill   float64       // prompt tokens that an engine of average speed processes in a millisecond
+	length    time.Duration // simulated time
+	counted   time.Duration // requests that arrive later do not count
 }
 
 // policy is the scheduler under test: the core or a baseline.
@@ -114,8 +116,22 @@
 
 // simulateEngines is simulateWithGap with the speed at which engines process prompts, in tokens per millisecond.
 func simulateEngines(seed uint64, load float64, p policy, eventGap time.Duration, prefill float64) *simulation {
+	s := newSimulation(seed, p)
+	s.eventGap, s.prefill = eventGap, prefill
+	return s.run(load)
+}
+
+// simulateStart plays the requests that arrive in the first seconds, and the others until these have ended.
+func simulateStart(seed uint64, load float64, p policy, counted time.Duration) *simulation {
+	s := newSimulation(seed, p)
+	s.counted, s.length = counted, counted+kinds[0].deadline
+	return s.run(load)
+}
+
+// newSimulation returns a simulation of the users' usual engines.
+func newSimulation(seed uint64, p policy) *simulation {
 	s := &simulation{
-		eventGap: eventGap, prefill: prefill,
+		eventGap: simulatedEventGap, prefill: usualPrefill, length: simulatedTime, counted: simulatedTime,
 		rand: rand.New(rand.NewPCG(seed, 1)), requests: map[RequestID]*simulated{}, policy: p,
 		rejected: map[RequestID]time.Duration{}, completed: map[RequestID]bool{},
 	}
@@ -130,13 +146,18 @@
 		list = append(list, e)
 	}
 	p.SetEngines(list)
-	for ; s.now < simulatedTime; s.now += time.Millisecond {
+	return s
+}
+
+// run plays the simulation at a multiple of the kinds' request rates.
+func (s *simulation) run(load float64) *simulation {
+	for ; s.now < s.length; s.now += time.Millisecond {
 		s.arrive(load)
 		s.sendRetries()
 		for _, e := range s.engines {
 			s.step(e)
 		}
-		grants, rejections := p.Decide(s.now)
+		grants, rejections := s.policy.Decide(s.now)
 		for _, g := range grants {
 			s.start(g)
 		}
@@ -296,7 +317,7 @@
 func (s *simulation) valueWithPauses() (value, paused float64) {
 	var possible, achieved, completed, withPause float64
 	for id, q := range s.requests {
-		if q.request.Deadline > simulatedTime || id != q.request.ID {
+		if q.request.Deadline > s.length || q.request.ArrivedAt >= s.counted || id != q.request.ID {
 			continue
 		}
 		possible += q.value
--- a/placement/route_stats.go
+++ b/placement/route_stats.go
@@ -4,8 +4,9 @@
 
 // routeStats holds what was learned about the requests of a route to a service.
 type routeStats struct {
-	meanOutput float64 // in tokens; 0 if unknown
-	meanSize   float64 // in prompt tokens; 0 if unknown
+	meanOutput    float64 // in tokens; 0 if unknown
+	outputSamples int     // number of responses that meanOutput was learned from
+	meanSize      float64 // in prompt tokens; 0 if unknown
 	// longestTimeout is the longest timeout that callers stated recently.
 	longestTimeout time.Duration
 	rates          serviceRates
@@ -42,6 +43,7 @@
 		s.meanOutput = float64(tokens)
 	}
 	s.meanOutput += (float64(tokens) - s.meanOutput) * outputMeanWeight
+	s.outputSamples++
 }
 
 // expectedOutput estimates the number of output tokens of a request. The caller's estimate is optional.
