--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,7 @@
 		w.waitFor("service", startTimeout, w.isServing)
 		w.startLoad(clientCount)
 		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
+		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
 		repaired := time.Now()
 		w.waitFor("service after the faults", recoveryTimeout, w.isServing)
 		t.Logf("seed %d: all entry instances serve %v after the last repair; %s", seed, time.Since(repaired).Round(time.Millisecond), w.summary())
@@ -170,6 +171,35 @@
 	}
 }
 
+// injectHerds injects faults that hit all processes or engines of one kind at once, one after the other: all entry
+// instances or all control instances are killed, or all engines refuse requests and ask for a rest. It has random
+// numbers of its own, so that the faults before it stay the same for a seed.
+func injectHerds(s *system, w *workload, random *rand.Rand) {
+	killAll := func(processes []*process) {
+		for _, p := range processes {
+			if p.reserve() {
+				p.stop(syscall.SIGKILL)
+				s.scheduleRepair(time.Duration(random.IntN(400))*time.Millisecond, func() { s.restart(p) })
+			}
+		}
+	}
+	for _, herd := range random.Perm(3) {
+		switch herd {
+		case 0:
+			killAll(s.entries())
+		case 1:
+			killAll(s.control())
+		case 2:
+			for _, e := range s.engines {
+				e.SetFault(standin.FaultRest)
+				s.scheduleRepair(500*time.Millisecond, func() { e.SetFault(standin.FaultNone) })
+			}
+		}
+		s.waitForRepairs()
+		w.waitFor("service after a herd", recoveryTimeout, w.isServing)
+	}
+}
+
 // scheduleRepair runs the repair of a fault after a delay. waitForRepairs waits for it.
 func (s *system) scheduleRepair(delay time.Duration, repair func()) {
 	s.pendingRepairs.Add(1)
