--- a/placement/selection.go
+++ b/placement/selection.go
@@ -110,12 +110,13 @@
 		return 0
 	}
 	perToken := c.latency.prefillMS * e.slowness
+	prompts := e.pendingPromptTokens() + float64(r.PromptTokens)
 	harm := 0.0
 	for _, other := range e.runs {
 		if !other.started || other.EventGap <= 0 {
 			continue
 		}
-		delayed := min(float64(r.PromptTokens), float64(other.TokensPerEvent)*chunkTokens)
+		delayed := min(prompts, float64(other.TokensPerEvent)*chunkTokens)
 		if milliseconds(delayed*perToken) > other.EventGap {
 			harm += (1 - lateValue) * other.value
 		}
