--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -51,6 +52,19 @@
 	return selected.run(args[1:], stdout, stderr)
 }
 
+// parseFlags parses the arguments of a subcommand. It returns false, after the usage was printed once, if they are
+// invalid; invalid reports whether the parsed values are.
+func parseFlags(flags *flag.FlagSet, args []string, invalid func() bool) bool {
+	if flags.Parse(args) != nil {
+		return false // Parse has printed the error and the usage
+	}
+	if invalid() {
+		flags.Usage()
+		return false
+	}
+	return true
+}
+
 func usage(w io.Writer) {
 	fmt.Fprintln(w, "usage: primrosebeam COMMAND [flags]")
 	for _, name := range slices.Sorted(maps.Keys(subcommands)) {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -33,3 +34,13 @@
 		is.Equal(group.Whole, group.Sent)
 	}
 }
+
+// Guards against a usage text that is printed twice for a wrong flag.
+func TestWrongFlagPrintsUsageOnce(t *testing.T) {
+	for _, name := range []string{"demo", "explain", "edge", "run", "check-platform"} {
+		is := is.New(t)
+		var stdout, stderr bytes.Buffer
+		is.Equal(command.Main([]string{name, "-no-such-flag"}, &stdout, &stderr), command.ExitUsage)
+		is.Equal(strings.Count(strings.ToLower(stderr.String()), "usage"), 1)
+	}
+}
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -21,8 +21,7 @@
 	flags.SetOutput(stderr)
 	duration := flags.Duration("duration", 5*time.Second, "how long load is sent")
 	asJSON := flags.Bool("json", false, "print JSON in place of a table")
-	if err := flags.Parse(args); err != nil || flags.NArg() > 0 || *duration <= 0 {
-		flags.Usage()
+	if !parseFlags(flags, args, func() bool { return flags.NArg() > 0 || *duration <= 0 }) {
 		return ExitUsage
 	}
 	report, err := demo.Run(context.Background(), demo.Options{Duration: *duration, Log: stderr})
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -41,8 +41,7 @@
 	}
 	id := flags.String("id", "", "request to tell of, by the ID that its caller sent")
 	summary := flags.Bool("summary", false, "group failed requests by reason, route and engine")
-	if err := flags.Parse(args); err != nil || flags.NArg() == 0 || (*id == "") == !*summary {
-		flags.Usage()
+	if !parseFlags(flags, args, func() bool { return flags.NArg() == 0 || (*id == "") == !*summary }) {
 		return ExitUsage
 	}
 	lines, err := readLogs(flags.Args())
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -48,8 +48,7 @@
 	keyFile := flags.String("shared-key", "", "file with the key that authenticates instances to each other")
 	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
 	level := flags.String("log", "info", "least level of log lines: debug, info, warn or error")
-	if err := flags.Parse(args); err != nil || *keyFile == "" || *path == "" || flags.NArg() > 0 {
-		flags.Usage()
+	if !parseFlags(flags, args, func() bool { return *keyFile == "" || *path == "" || flags.NArg() > 0 }) {
 		return ExitUsage
 	}
 	logLevel, err := zerolog.ParseLevel(*level)
@@ -131,8 +130,7 @@
 	flags.SetOutput(stderr)
 	settings := flags.String("settings", "", "settings `file` of a process")
 	document := flags.String("configuration", "", "configuration `file` of an operator")
-	if err := flags.Parse(args); err != nil || flags.NArg() > 0 || *settings == "" && *document == "" {
-		flags.Usage()
+	if !parseFlags(flags, args, func() bool { return flags.NArg() > 0 || *settings == "" && *document == "" }) {
 		return ExitUsage
 	}
 	code := ExitSuccess
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -26,8 +26,7 @@
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "settings file of this instance")
-	if err := flags.Parse(args); err != nil || *path == "" || flags.NArg() > 0 {
-		flags.Usage()
+	if !parseFlags(flags, args, func() bool { return *path == "" || flags.NArg() > 0 }) {
 		return ExitUsage
 	}
 	s, err := settings.Load(*path)
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
@@ -43,6 +44,8 @@
 	table         versionTable
 	waiters       []*inForceWaiter
 	lastAnnounced configuration.Version
+
+	lastStatus atomic.Pointer[Status] // result of the last status request
 }
 
 func newPublisher(c *Control) *publisher {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -90,24 +90,31 @@
 	return 1
 }
 
-// status requests the status from the worker. If the worker does not reply in time, only the name of the
-// replica is set.
+// status requests the status from the worker. If the worker's queue is full or it does not reply in time, the
+// status of the last request is returned, or only the name of the replica if there was none.
 func (p *publisher) status(ctx context.Context) Status {
 	reply := make(chan Status, 1)
-	unknown := Status{Replica: p.control.options.Name}
 	if !p.enqueue(publisherEvent{status: reply}) {
-		return unknown
+		return p.staleStatus()
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.control.options.Timing.CallTimeout)
 	defer cancel()
 	select {
 	case status := <-reply:
+		p.lastStatus.Store(&status)
 		return status
 	case <-ctx.Done():
-		return unknown
+		return p.staleStatus()
 	}
 }
 
+func (p *publisher) staleStatus() Status {
+	if last := p.lastStatus.Load(); last != nil {
+		return *last
+	}
+	return Status{Replica: p.control.options.Name}
+}
+
 func (p *publisher) state() Status { return p.status(context.Background()) }
 
 // Status returns the status of this instance's replica, or of the first other replica that replies.
