Grant sooner when no instance reports a running request

Change: the wait ends after 60 ms while instances have reported and none of them has a running request.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -33,6 +33,9 @@
 	// before it issues grants. Entry instances learn of a new allocator within the 200 ms between two
 	// heartbeats.
 	reportTime = 250 * time.Millisecond
+	// idleReportTime replaces reportTime while no instance has reported a running request, as after the start of
+	// the whole system.
+	idleReportTime = 60 * time.Millisecond
 	// ringCapacity bounds the queued events. It is sized for 400 entry instances with one update in
 	// transit each.
 	ringCapacity = 2048
@@ -58,6 +61,7 @@
 	silent            map[string]uint64 // incarnations of instances that fell silent, by name
 	leads             bool
 	grantsPausedUntil time.Duration
+	reports           reports                           // since grants were paused
 	lastRun           time.Duration                     // time of the last decision
 	entryInstances    int                               // number of entry instances in the whole system
 	learned           atomic.Pointer[placement.Learned] // published at publishedAt
@@ -170,7 +174,7 @@
 // Run processes events until ctx is cancelled.
 func (a *Allocator) Run(ctx context.Context) error {
 	a.core.SetScope(a.options.DataCentre)
-	a.grantsPausedUntil = clock() + reportTime
+	a.pauseGrants(clock())
 	return worker.Loop(ctx, a.events.Ready(), a.nextTick, func() {
 		now := clock()
 		a.checkPause(now)
@@ -191,7 +195,7 @@
 	if former == 0 || paused <= pauseLimit {
 		return
 	}
-	a.grantsPausedUntil = now + reportTime
+	a.pauseGrants(now)
 	for _, o := range a.owners {
 		a.core.DetachOwner(o.name)
 		o.synced = false
@@ -230,7 +234,7 @@
 	a.entryInstances = r.entryInstances
 	if r.leads != a.leads {
 		a.leads = r.leads
-		a.grantsPausedUntil = now + reportTime
+		a.pauseGrants(now)
 		scope := a.options.DataCentre
 		if r.leads {
 			scope = ""
@@ -241,6 +245,24 @@
 	a.updateQuotaShare(now)
 }
 
+// reports summarizes the full updates that entry instances have sent.
+type reports struct {
+	instances int
+	runs      int
+}
+
+// pauseGrants stops grants until the entry instances have reported their running requests.
+func (a *Allocator) pauseGrants(now time.Duration) {
+	a.grantsPausedUntil = now + reportTime
+	a.reports = reports{}
+}
+
+// grantsPaused reports whether grants have to wait for reports.
+func (a *Allocator) grantsPaused(now time.Duration) bool {
+	idle := a.reports.instances > 0 && a.reports.runs == 0
+	return now < a.grantsPausedUntil && !(idle && now >= a.grantsPausedUntil-reportTime+idleReportTime)
+}
+
 // updateQuotaShare sets the quota share in proportion to the entry instances that report to this
 // allocator. The share of the other instances is left unused here, because they may report to another
 // allocator, which spends only their share, or grant slots to their requests themselves.
@@ -280,6 +302,8 @@
 	o.received, o.synced = u.Sequence, true
 	decisions.LastUpdate = u.Sequence
 	if u.Full {
+		a.reports.instances++
+		a.reports.runs += len(u.Runs)
 		decisions.Leaving = a.notices.Leaving()
 		a.reconcile(now, o, u)
 	}
@@ -401,7 +425,7 @@
 }
 
 func (a *Allocator) decide(now time.Duration) {
-	if now < a.grantsPausedUntil {
+	if a.grantsPaused(now) {
 		return
 	}
 	grants, rejections := a.core.Decide(now)
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -286,3 +286,30 @@
 	a.send()
 	is.Equal(len(out.take("edge").Grants), 1)
 }
+
+// TestIdleSystemGrantsEarly guards against callers who wait for reports of running requests after the start of the
+// whole system, when there are none, and against grants before such reports when there are some.
+func TestIdleSystemGrantsEarly(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		runs []fleet.Run
+		at   time.Duration // when grants begin
+	}{
+		{"no request runs", nil, idleReportTime},
+		{"a request runs", []fleet.Run{{Request: waitingRequest(1), Engine: "e"}}, reportTime},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a, out := newTestAllocator(4)
+			a.pauseGrants(0)
+			a.deliver(1, sender("first", 1), fleet.Update{Sequence: 1, Full: true, Runs: test.runs})
+			a.deliver(2, sender("edge", 1), fleet.Update{Sequence: 1, Full: true, Arrivals: []fleet.Request{waitingRequest(1)}})
+			a.decide(test.at - 1)
+			a.send()
+			is.Equal(len(out.take("edge").Grants), 0)
+			a.decide(test.at)
+			a.send()
+			is.Equal(len(out.take("edge").Grants), 1)
+		})
+	}
+}
