--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -129,8 +129,12 @@
 	if err != nil {
 		return fleet.Confirmed{}, err
 	}
-	request := fleet.Confirm{EntryInstances: c.hub.attachedNames(), WithContent: withContent, EnginesDigest: c.directory.State().Digest}
-	request.WithLearned = c.learnedDue()
+	request := fleet.Confirm{
+		WithContent: withContent, EnginesDigest: c.directory.State().Digest, WithLearned: c.learnedRequests.due(learnedInterval),
+	}
+	if c.entryReports.due(entryReportInterval) {
+		request.EntryInstances = c.hub.attachedNames()
+	}
 	if leader == c.name {
 		return c.confirmAsLeader(ctx, request)
 	}
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -10,13 +10,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/placement"
 )
 
 const (
-	// learnedInterval is the interval at which the followers ask the leader for what its allocator has learned.
-	learnedInterval = time.Second
+	// learnedInterval is the interval at which the followers ask the leader for what its allocator has learned,
+	// about 28 bytes for each engine.
+	learnedInterval = 10 * time.Second
 	// learnedSaveInterval is the interval at which it is saved for the next start.
 	learnedSaveInterval = 5 * time.Second
 	// maxLearnedBytes bounds the file; 600 engines and 1,000 routes take 60 KB.
@@ -105,13 +105,6 @@
 	c.options.Logger.Info().Int("engines", len(l.Engines)).Int("routes", len(l.Routes)).Msg("learned state restored")
 }
 
-// learnedDue reports whether this instance should ask the leader for what it has learned, at most once within
-// learnedInterval.
-func (c *ControlInstance) learnedDue() bool {
-	now, asked := boottime.Now(), c.learnedAskedAt.Load()
-	return now.Sub(boottime.Time(asked)) >= learnedInterval && c.learnedAskedAt.CompareAndSwap(asked, int64(now))
-}
-
 // saveLearned saves what is known at this instance at intervals until ctx is cancelled. A failure is logged once
 // until a later attempt succeeds.
 func (c *ControlInstance) saveLearned(ctx context.Context) error {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -41,7 +41,7 @@
 // Confirm asks the leader for the newest configuration number. A quorum confirms the number after the
 // call.
 type Confirm struct {
-	EntryInstances []string `cbor:"1,keyasint,omitempty"` // entry instances attached to the sender
+	EntryInstances []string `cbor:"1,keyasint,omitempty"` // entry instances attached to the sender; sent now and then
 	WithContent    bool     `cbor:"2,keyasint,omitempty"` // requests the content of the configuration as well
 	// EnginesDigest is the digest of the sender's list of engines. Only the leader reads the platform's
 	// list, because the platform limits the calls and charges for them.
