--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -243,8 +243,9 @@
 // relayComplete relays a response that is not an event stream, after it has been read completely if it is not
 // longer than maxBufferedBytes.
 func (x *exchange) relayComplete(r *http.Response, watch *watchdog) sendResult {
+	hasBody := x.request.Method != http.MethodHead
 	start, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil || r.ContentLength > maxResponseBytes {
+	if err != nil || hasBody && r.ContentLength > maxResponseBytes {
 		x.cause = causeOf(err, watch)
 		return x.classifyBodyError(watch)
 	}
@@ -255,7 +256,11 @@
 	if len(start) > maxBufferedBytes {
 		return x.relayLong(r, start, watch)
 	}
-	x.writer.Header().Set("Content-Length", strconv.Itoa(len(start)))
+	if hasBody {
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(start)))
+	} else if r.ContentLength >= 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
 	x.writeStatus(r)
 	if _, err := x.writer.Write(start); err != nil {
 		return resultCallerLeft
@@ -275,7 +280,7 @@
 		return resultCallerLeft
 	}
 	rest := io.LimitReader(r.Body, int64(maxResponseBytes-len(start)+1))
-	n, err := io.CopyBuffer(struct{ io.Writer }{x.writer}, struct{ io.Reader }{rest}, make([]byte, 16<<10))
+	n, err := io.Copy(x.writer, rest)
 	switch {
 	case x.request.Context().Err() != nil:
 		return resultCallerLeft
