--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,26 +23,14 @@
 	"github.com/primrosebeam/primrosebeam/platform"
 )
 
-const (
-	// callTimeout limits one call, so that an unresponsive connection is closed before the second read after it.
-	callTimeout = 900 * time.Millisecond
-	// readTimeout limits the read of a complete list, which has up to 200 pages.
-	readTimeout = 6 * time.Second
-	// rateShare is the fraction of the platform's call rate that one reader uses. The rest is left to readers that
-	// are cut off from this one.
-	rateShare = 0.75
-	// rateBurst is the number of calls that a reader makes at once.
-	rateBurst = 4
-	// rejectedDelay is the delay after a call that the platform has rejected because of its rate limit.
-	rejectedDelay = 100 * time.Millisecond
-)
+// readTimeout limits one read, so that an unresponsive connection is closed before the second read after it.
+const readTimeout = 900 * time.Millisecond
 
 // Options configures a Reader.
 type Options struct {
 	Address  string
 	Interval time.Duration
 	OnChange func([]placement.Engine) // called with each list that differs from the one before; must not block
-	Rate     float64                  // calls per second that the platform accepts from all instances; 0 means no limit
 	// ReadNeeded reports whether this instance has to read the list itself; nil means always.
 	ReadNeeded func() bool
 	Logger     zerolog.Logger
@@ -73,7 +61,6 @@
 	client  *http.Client
 	state   atomic.Pointer[State]
 	failing bool // the last read failed; used by Run only
-	calls   pacer
 
 	mu      sync.Mutex                    // guards history and order, and serializes changes of state
 	history map[uint64][]placement.Engine // recent lists, by digest
@@ -84,11 +71,11 @@
 
 // New returns a reader without a list.
 func New(o Options) *Reader {
-	dialer := &net.Dialer{Timeout: callTimeout}
+	dialer := &net.Dialer{Timeout: readTimeout}
 	r := &Reader{
 		options: o,
 		history: map[uint64][]placement.Engine{},
-		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		client: &http.Client{Timeout: readTimeout, Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
 		}},
 		reads:     o.Metrics.NewCounter("primrosebeam_directory_reads_total"),
@@ -121,9 +108,7 @@
 func (r *Reader) read(ctx context.Context) {
 	startedAt := boottime.Now()
 	r.reads.Inc()
-	readContext, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	engines, malformed, err := platform.ReadDirectory(readContext, r.client, r.options.Address, r.pace)
+	engines, malformed, err := platform.ReadDirectory(ctx, r.client, r.options.Address)
 	if err != nil {
 		r.failures.Inc()
 		if !r.failing && ctx.Err() == nil {
@@ -141,46 +126,6 @@
 	r.Store(engines, startedAt)
 }
 
-// pace implements platform.Pace.
-func (r *Reader) pace(ctx context.Context, rejected bool) error {
-	now := boottime.Now()
-	wait := r.calls.next(now, rejected, rateShare*r.options.Rate)
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(wait):
-		return nil
-	}
-}
-
-// pacer is a token bucket for the calls of one reader.
-type pacer struct {
-	tokens  float64
-	updated boottime.Time // 0 before the first call
-}
-
-// next takes a token and returns how long the call has to wait. A rate of 0 means no limit.
-func (p *pacer) next(now boottime.Time, rejected bool, rate float64) time.Duration {
-	if rejected {
-		p.tokens, p.updated = 0, now
-		return rejectedDelay
-	}
-	if rate <= 0 {
-		return 0
-	}
-	if p.updated == 0 {
-		p.tokens = rateBurst
-	} else {
-		p.tokens = min(p.tokens+rate*now.Sub(p.updated).Seconds(), rateBurst)
-	}
-	p.updated = now
-	p.tokens--
-	return max(0, time.Duration(-p.tokens/rate*float64(time.Second)))
-}
-
 // Store stores a list that was read at readAt, by this or another instance. It ignores a list that is not
 // newer than the present one.
 func (r *Reader) Store(engines []placement.Engine, readAt boottime.Time) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,7 +77,7 @@
 	}
 	e.link = node
 	e.directory = directory.New(directory.Options{
-		Address: s.Directory.Address, Rate: s.Directory.Rate, Interval: directoryInterval, OnChange: e.enginesChanged, ReadNeeded: e.mayReadDirectory,
+		Address: s.Directory.Address, Interval: directoryInterval, OnChange: e.enginesChanged, ReadNeeded: e.mayReadDirectory,
 		Logger: o.Logger, Metrics: o.Metrics,
 	})
 	e.control = newControlClient(o, node, e.directory, e.tableInstalled)
