--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,7 +12,6 @@
 
 	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/allocator"
-	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/internal/directory"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
@@ -55,7 +54,6 @@
 	isLeader             atomic.Bool            // whether this instance is the leader
 	leader               atomic.Pointer[string] // last observed leader
 	configurationChanged chan struct{}          // signals that a new configuration was stored
-	started              boottime.Time
 	learned              learnedFile
 	learnedRequests      interval // requests to the leader for what it has learned
 	entryReports         interval // reports of the attached entry instances to the leader
@@ -64,7 +62,7 @@
 // New opens the data folder and creates all workers; Run starts them.
 func New(o Options) (*ControlInstance, error) {
 	s := o.Settings
-	c := &ControlInstance{options: o, name: s.Address.String(), started: boottime.Now()}
+	c := &ControlInstance{options: o, name: s.Address.String()}
 	c.configurationChanged = make(chan struct{}, 1)
 	c.register = revision.NewRegister(func(revision.Revision) {
 		select {
@@ -106,35 +104,11 @@
 	// directoryMaxAge is the age of the list beyond which a control instance that is not the leader reads
 	// the list itself.
 	directoryMaxAge = 1300 * time.Millisecond
-	// directoryStartGrace is how long after its start an instance waits for a known leader to read a long list.
-	directoryStartGrace = 2 * directoryMaxAge
 )
 
 // shouldReadDirectory reports whether this instance must read the list of engines itself.
 func (c *ControlInstance) shouldReadDirectory() bool {
-	leader := c.leader.Load()
-	return mustReadDirectory(directoryNeed{
-		leads: c.isLeader.Load(), leaderKnown: leader != nil && *leader != "",
-		age: c.directory.State().Age(), uptime: boottime.Now().Sub(c.started),
-	})
-}
-
-// directoryNeed is the situation in which an instance decides whether to read the list of engines itself.
-type directoryNeed struct {
-	leads, leaderKnown bool
-	age                time.Duration // of the list that this instance has
-	uptime             time.Duration // of this instance
-}
-
-// mustReadDirectory decides that the leader reads the list, and another instance only if it can't get a recent one
-// from the leader. The platform limits the calls of all instances together and a list has many pages, so instances
-// that start at once wait for a leader.
-func mustReadDirectory(n directoryNeed) bool {
-	grace := directoryMaxAge
-	if n.leaderKnown {
-		grace = directoryStartGrace
-	}
-	return n.leads || n.age > directoryMaxAge && n.uptime > grace
+	return c.isLeader.Load() || c.directory.State().Age() > directoryMaxAge
 }
 
 func (c *ControlInstance) replicaOptions() replica.Options {
