Log the size and the time of a configuration's transfer, and calls that keep failing

Entry instances now log the first and every further failure whose number is a power of two with the time of the call, count all of them, and state the bytes and the time of each transfer.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
@@ -40,6 +41,7 @@
 	logger            zerolog.Logger
 	changed           chan struct{} // receives a value when a control instance announces a change
 	onInstall         func(*routing.Table)
+	failedCalls       *metrics.Counter
 
 	table      atomic.Pointer[routing.Table]
 	leaseEnd   atomic.Int64 // boottime.Time until which the lease lasts
@@ -60,6 +62,7 @@
 		revocationTimeout: s.Bounds.RevocationTimeout, directory: reader,
 		logger: o.Logger, changed: make(chan struct{}, 1), onInstall: onInstall,
 		controlInstances: s.SeedAddresses(), dataCentres: map[string]string{}, backoffUntil: map[string]boottime.Time{},
+		failedCalls: o.Metrics.NewCounter("primrosebeam_control_calls_failed_total"),
 	}
 	none := ""
 	c.leader.Store(&none)
@@ -69,21 +72,28 @@
 
 // Run calls a control instance at intervals until ctx is cancelled.
 func (c *controlClient) Run(ctx context.Context) error {
-	attached := false
+	failures := 0 // calls that failed since the last successful one
+	failingSince := boottime.Now()
 	for ctx.Err() == nil {
 		target := c.selectTarget()
+		calledAt := boottime.Now()
 		err := c.attach(ctx, target)
 		wait := attachInterval
 		if err != nil {
-			if attached {
-				c.logger.Warn().Str("peer", target).Dur("lease", c.leaseLeft()).Err(err).Msg("control instance lost")
+			if failures == 0 {
+				failingSince = calledAt
 			}
+			c.recordFailure(target, calledAt, failures, err)
+			failures++
 			c.backOff(target)
 			wait = attachInterval / 8
-		} else if !attached {
-			c.logger.Info().Str("peer", target).Msg("control instance regained")
+		} else {
+			if failures > 0 {
+				c.logger.Info().Str("peer", target).Int("failures", failures).Dur("took", boottime.Now().Sub(failingSince)).
+					Msg("control instance regained")
+			}
+			failures = 0
 		}
-		attached = err == nil
 		select {
 		case <-ctx.Done():
 		case <-c.changed:
@@ -93,6 +103,16 @@
 	return ctx.Err()
 }
 
+// recordFailure counts a failed call and logs it if it is the first one in a row or if their number is a power
+// of two.
+func (c *controlClient) recordFailure(target string, calledAt boottime.Time, earlier int, err error) {
+	c.failedCalls.Inc()
+	if failures := earlier + 1; failures&(failures-1) == 0 {
+		c.logger.Warn().Str("peer", target).Int("failures", failures).Dur("took", boottime.Now().Sub(calledAt)).
+			Dur("lease", c.leaseLeft()).Err(err).Msg("control instance lost")
+	}
+}
+
 // HandleChanged is the link handler for announcements of changes. It triggers an immediate call.
 func (c *controlClient) HandleChanged(context.Context, link.Sender, []byte) (any, error) {
 	select {
@@ -154,7 +174,7 @@
 		return err
 	}
 	if reply.Content != nil {
-		if err := c.install(reply.Number, reply.Content); err != nil {
+		if err := c.install(reply.Number, reply.Content, boottime.Now().Sub(calledAt)); err != nil {
 			return err
 		}
 	}
@@ -169,8 +189,9 @@
 	return nil
 }
 
-// install puts a configuration in force, unless the current one is as new or newer.
-func (c *controlClient) install(number uint64, content []byte) error {
+// install puts a configuration in force, unless the current one is as new or newer. took is how long its
+// transfer took.
+func (c *controlClient) install(number uint64, content []byte, took time.Duration) error {
 	table, err := platform.DecodeDocument(content)
 	if err != nil {
 		return err
@@ -180,7 +201,7 @@
 	}
 	c.table.Store(table)
 	c.onInstall(table)
-	c.logger.Info().Uint64("number", number).Msg("configuration in force")
+	c.logger.Info().Uint64("number", number).Int("bytes", len(content)).Dur("transfer", took).Msg("configuration in force")
 	return nil
 }
 
--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -97,7 +97,7 @@
 	is := is.New(t)
 	stub := &controlStub{replies: map[string]fleet.Attached{}}
 	client := newTestControlClient(t, stub, "10.0.0.1:1")
-	is.NoErr(client.install(3, document(3)))
-	is.NoErr(client.install(2, document(2)))
+	is.NoErr(client.install(3, document(3), 0))
+	is.NoErr(client.install(2, document(2), 0))
 	is.Equal(client.table.Load().Number, routing.Number(3))
 }
