Transfer configurations to entry instances in parts, apart from their heartbeat

Cause: it was part of the reply to fleet.attach, the heartbeat that also renews the lease. The call is given up after 0.6 s; on a link of 10 Mbit/s the reply takes 0.68 s. Each further call asked another control instance for the whole, while the former reply still filled the link, so that it stayed full for good (monitoring: 1,050 to 1,300 KB/s in every second, processors at 1 %).

Change: the heartbeat only states the number. A worker of its own fetches the configuration in parts of 32 KiB, continues after a failure where it was, at any control instance, and calls go on meanwhile.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,7 @@
 	name                 string // unique address of the machine, to which other instances connect
 	link                 *link.Node
 	register             *revision.Register
+	recent               recentRevisions
 	replica              *replica.Replica
 	allocator            *allocator.Allocator
 	directory            *directory.Reader
@@ -64,7 +65,8 @@
 	s := o.Settings
 	c := &ControlInstance{options: o, name: s.Address.String()}
 	c.configurationChanged = make(chan struct{}, 1)
-	c.register = revision.NewRegister(func(revision.Revision) {
+	c.register = revision.NewRegister(func(r revision.Revision) {
+		c.recent.add(r)
 		select {
 		case c.configurationChanged <- struct{}{}:
 		default:
@@ -91,6 +93,7 @@
 	}
 	node.Handle(fleet.KindConsensus, c.handleConsensus)
 	node.Handle(fleet.KindAttach, c.hub.handleAttach)
+	node.Handle(fleet.KindFetch, c.hub.handleFetch)
 	node.Handle(fleet.KindConfirm, c.handleConfirm)
 	node.Handle(fleet.KindSubmit, c.handleSubmit)
 	node.Handle(fleet.KindUpdate, c.allocator.HandleUpdate)
--- a/internal/core/hub.go
+++ b/internal/core/hub.go
@@ -38,7 +38,8 @@
 }
 
 // handleAttach replies to an entry instance with the confirmed configuration number, the known instances,
-// and the configuration and list of engines if the entry instance has older ones.
+// the number of the configuration held here if it is newer than that of the entry instance, and the list of
+// engines if it differs.
 func (h *hub) handleAttach(ctx context.Context, from link.Sender, body []byte) (any, error) {
 	var request fleet.Attach
 	if err := link.Decode(body, &request); err != nil {
@@ -56,12 +57,21 @@
 		reply.Leader = leader
 	}
 	if current := h.core.register.Current(); current.Number > request.Number {
-		reply.Number, reply.Content = current.Number, current.Content
+		reply.Number = current.Number
 	}
 	reply.Engines = h.core.directory.Export(request.EnginesDigest)
 	return reply, nil
 }
 
+// handleFetch replies to an entry instance with a part of a configuration.
+func (h *hub) handleFetch(_ context.Context, _ link.Sender, body []byte) (any, error) {
+	var request fleet.Fetch
+	if err := link.Decode(body, &request); err != nil {
+		return nil, err
+	}
+	return h.core.recent.part(request), nil
+}
+
 // recordCall records that an entry instance called this instance.
 func (h *hub) recordCall(name string) {
 	now := boottime.Now()
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -23,6 +23,8 @@
 	attachInterval = 400 * time.Millisecond
 	// attachTimeout is how long one call may take before another control instance is called.
 	attachTimeout = 600 * time.Millisecond
+	// retryDelay is the time after a failed call before another control instance is called.
+	retryDelay = attachInterval / 8
 	// controlBackoff is how long after a failure a control instance is called only if the others fail too.
 	controlBackoff = 2 * time.Second
 	// leaseMargin is the time by which the lease ends early, since requests are sent shortly after they
@@ -42,11 +44,15 @@
 	changed           chan struct{} // receives a value when a control instance announces a change
 	onInstall         func(*routing.Table)
 	failedCalls       *metrics.Counter
+	failedTransfers   *metrics.Counter
+	newer             chan struct{} // receives a value when a control instance holds a newer configuration
+	invalid           uint64        // newest configuration that could not be put in force; owned by RunTransfers
 
 	table      atomic.Pointer[routing.Table]
 	leaseEnd   atomic.Int64 // boottime.Time until which the lease lasts
 	leader     atomic.Pointer[string]
 	entryCount atomic.Int64
+	announced  atomic.Uint64 // newest configuration that a control instance holds
 
 	mu               sync.Mutex
 	controlInstances []string          // addresses of all known control instances
@@ -62,7 +68,9 @@
 		revocationTimeout: s.Bounds.RevocationTimeout, directory: reader,
 		logger: o.Logger, changed: make(chan struct{}, 1), onInstall: onInstall,
 		controlInstances: s.SeedAddresses(), dataCentres: map[string]string{}, backoffUntil: map[string]boottime.Time{},
-		failedCalls: o.Metrics.NewCounter("primrosebeam_control_calls_failed_total"),
+		failedCalls:     o.Metrics.NewCounter("primrosebeam_control_calls_failed_total"),
+		failedTransfers: o.Metrics.NewCounter("primrosebeam_configuration_parts_failed_total"),
+		newer:           make(chan struct{}, 1),
 	}
 	none := ""
 	c.leader.Store(&none)
@@ -86,7 +94,7 @@
 			c.recordFailure(target, calledAt, failures, err)
 			failures++
 			c.backOff(target)
-			wait = attachInterval / 8
+			wait = retryDelay
 		} else {
 			if failures > 0 {
 				c.logger.Info().Str("peer", target).Int("failures", failures).Dur("took", boottime.Now().Sub(failingSince)).
@@ -115,11 +123,27 @@
 
 // HandleChanged is the link handler for announcements of changes. It triggers an immediate call.
 func (c *controlClient) HandleChanged(context.Context, link.Sender, []byte) (any, error) {
+	c.requestCall()
+	return nil, nil
+}
+
+// requestCall triggers an immediate call of a control instance.
+func (c *controlClient) requestCall() { signal(c.changed) }
+
+// signal sends a value to a channel with one buffered element, unless one is already there.
+func signal(channel chan<- struct{}) {
 	select {
-	case c.changed <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
-	return nil, nil
+}
+
+// numberInForce returns the number of the configuration in force here, or 0 if there is none.
+func (c *controlClient) numberInForce() uint64 {
+	if t := c.table.Load(); t != nil {
+		return uint64(t.Number)
+	}
+	return 0
 }
 
 // selectTarget returns the control instance to call. Instances of the own data centre and those whose data
@@ -164,10 +188,7 @@
 func (c *controlClient) attach(ctx context.Context, target string) error {
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
-	request := fleet.Attach{EnginesDigest: c.directory.State().Digest}
-	if t := c.table.Load(); t != nil {
-		request.Number = uint64(t.Number)
-	}
+	request := fleet.Attach{Number: c.numberInForce(), EnginesDigest: c.directory.State().Digest}
 	calledAt := boottime.Now()
 	var reply fleet.Attached
 	if err := c.link.Call(ctx, target, fleet.KindAttach, request, &reply); err != nil {
@@ -177,6 +198,9 @@
 		if err := c.install(reply.Number, reply.Content, boottime.Now().Sub(calledAt)); err != nil {
 			return err
 		}
+	} else if reply.Number > request.Number {
+		c.announced.Store(max(c.announced.Load(), reply.Number))
+		signal(c.newer)
 	}
 	c.directory.Merge(reply.Engines, calledAt)
 	c.renewLease(calledAt, &reply)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,6 +164,7 @@
 	defer workers.Stop()
 	workers.Start("link", e.link.Run)
 	workers.Start("member", e.control.Run)
+	workers.Start("configuration", e.control.RunTransfers)
 	workers.Start("placer", e.placer.Run)
 	workers.Start("directory", e.directory.Run)
 	workers.Start("readiness", monitor.Serve(readiness))
@@ -228,11 +229,8 @@
 		Allocator string
 		Entries   int
 	}{
-		Lease: e.control.leaseLeft().String(), Leader: *e.control.leader.Load(),
+		Number: e.control.numberInForce(), Lease: e.control.leaseLeft().String(), Leader: *e.control.leader.Load(),
 		Allocator: e.placer.allocator(), Entries: e.entryCount(),
 	}
-	if t := e.control.table.Load(); t != nil {
-		state.Number = uint64(t.Number)
-	}
 	return state
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -12,6 +12,7 @@
 const (
 	KindConsensus link.Kind = "consensus"        // between control instances
 	KindAttach    link.Kind = "fleet.attach"     // call from an entry instance to a control instance
+	KindFetch     link.Kind = "fleet.fetch"      // call from an entry instance to a control instance
 	KindChanged   link.Kind = "fleet.changed"    // asks attached entry instances to send Attach immediately
 	KindConfirm   link.Kind = "fleet.confirm"    // call from a control instance to the leader
 	KindSubmit    link.Kind = "fleet.submit"     // call from a control instance to the leader
@@ -27,8 +28,8 @@
 
 // Attached is the reply to Attach.
 type Attached struct {
-	Number           uint64     `cbor:"1,keyasint,omitempty"` // number of Content
-	Content          []byte     `cbor:"2,keyasint,omitempty"` // configuration, if the caller has an older one
+	Number           uint64     `cbor:"1,keyasint,omitempty"` // configuration held here, if the caller has an older one
+	Content          []byte     `cbor:"2,keyasint,omitempty"` // set by releases that do not know Fetch
 	Confirmed        uint64     `cbor:"3,keyasint,omitempty"` // newest number confirmed by a quorum after the call
 	IsConfirmed      bool       `cbor:"4,keyasint,omitempty"`
 	Leader           string     `cbor:"5,keyasint,omitempty"` // name of the leading control instance; empty if unknown
@@ -38,6 +39,25 @@
 	EntryInstances   int        `cbor:"9,keyasint,omitempty"` // number of known entry instances
 }
 
+// MaxPartBytes is the size of the parts in which a configuration is transferred. A part takes 26 ms on a link
+// of 10 Mbit/s, so the other messages on the link are not delayed for long.
+const MaxPartBytes = 32 << 10
+
+// Fetch asks for the part of a configuration that begins at Offset.
+type Fetch struct {
+	Number uint64 `cbor:"1,keyasint,omitempty"` // 0 asks for the newest configuration
+	Offset int    `cbor:"2,keyasint,omitempty"`
+}
+
+// Fetched is the reply to Fetch. If the configuration asked for is not held any more, it is the first part of
+// the newest one.
+type Fetched struct {
+	Number uint64 `cbor:"1,keyasint,omitempty"` // 0 if there is no configuration
+	Offset int    `cbor:"2,keyasint,omitempty"`
+	Size   int    `cbor:"3,keyasint,omitempty"` // of the whole configuration, in bytes
+	Part   []byte `cbor:"4,keyasint,omitempty"`
+}
+
 // Confirm asks the leader for the newest configuration number. A quorum confirms the number after the
 // call.
 type Confirm struct {
