Index the routes of a host by prefix

Compile compared each prefix with all others of its host, and Match compared the path with each of them.

Change: a map by prefix for each host. A prefix ends with a slash, so a match looks up the parts of the path up to its slashes, the longest first.

--- a/routing/table.go
+++ b/routing/table.go
@@ -1,16 +1,12 @@
 package routing
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Table is the index of a valid document. It is immutable.
 type Table struct {
 	Number     Number
 	Limits     Limits
-	hosts      map[string][]*Route // longest prefix first
+	hosts      map[string]*hostRoutes
 	services   map[string]*Service
 	keys       map[string]*Workspace
 	workspaces []Workspace
@@ -21,7 +17,7 @@
 	t := &Table{
 		Number:     d.Number,
 		Limits:     d.Limits,
-		hosts:      map[string][]*Route{},
+		hosts:      map[string]*hostRoutes{},
 		services:   make(map[string]*Service, len(d.Services)),
 		keys:       map[string]*Workspace{},
 		workspaces: d.Workspaces,
@@ -43,12 +39,28 @@
 			return nil, err
 		}
 	}
-	for _, routes := range t.hosts {
-		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
-	}
 	return t, nil
 }
 
+// hostRoutes is the index of the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	longest  int // length of the longest prefix
+}
+
+// match returns the route with the longest prefix that matches the path, or nil. As every prefix ends with a
+// slash, only the parts of the path up to a slash can be one.
+func (h *hostRoutes) match(path string) *Route {
+	for end := min(len(path), h.longest); end > 0; {
+		end = strings.LastIndexByte(path[:end], '/') + 1
+		if r := h.byPrefix[path[:end]]; r != nil {
+			return r
+		}
+		end--
+	}
+	return nil
+}
+
 func (t *Table) addRoute(r *Route) error {
 	invalid := func(reason Reason) error { return &DocumentError{Reason: reason, Subject: r.Name} }
 	if r.Timeout <= 0 {
@@ -71,12 +83,16 @@
 		return invalid(ReasonInvalidWeights)
 	}
 	host := canonicalHost(r.Host)
-	for _, other := range t.hosts[host] {
-		if other.PathPrefix == r.PathPrefix {
-			return invalid(ReasonDuplicateRoute)
-		}
+	routes := t.hosts[host]
+	if routes == nil {
+		routes = &hostRoutes{byPrefix: map[string]*Route{}}
+		t.hosts[host] = routes
+	}
+	if routes.byPrefix[r.PathPrefix] != nil {
+		return invalid(ReasonDuplicateRoute)
 	}
-	t.hosts[host] = append(t.hosts[host], r)
+	routes.byPrefix[r.PathPrefix] = r
+	routes.longest = max(routes.longest, len(r.PathPrefix))
 	return nil
 }
 
@@ -100,12 +116,11 @@
 
 // Match returns the route of the host with the longest path prefix that matches the path, or nil.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.hosts[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r
-		}
+	routes := t.hosts[canonicalHost(host)]
+	if routes == nil {
+		return nil
 	}
-	return nil
+	return routes.match(path)
 }
 
 // Service returns the service with the given name, or nil.
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func validDocument() *Document {
@@ -107,3 +112,62 @@
 	plain := Route{Kind: KindIdempotent, Timeout: time.Second}
 	is.Equal(plain.EventTimeout(), time.Second)
 }
+
+// Guards against a match that differs from a comparison of the path with every prefix.
+func TestMatchEqualsComparisonWithEveryPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"", "a", "b", "ab"})
+		path := func(label string) string {
+			return "/" + strings.Join(rapid.SliceOfN(segment, 0, 5).Draw(t, label), "/")
+		}
+		d := &Document{Services: []Service{{Name: "s"}}}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			prefix := strings.TrimSuffix(path("prefix"), "/") + "/"
+			if !slices.ContainsFunc(d.Routes, func(r Route) bool { return r.PathPrefix == prefix }) {
+				d.Routes = append(d.Routes, Route{Name: prefix, Host: "h", PathPrefix: prefix, Timeout: 1, Targets: []Target{{Service: "s", Weight: 1}}})
+			}
+		}
+		table, err := Compile(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requested, want := path("path"), ""
+		for i := range d.Routes {
+			if prefix := d.Routes[i].PathPrefix; strings.HasPrefix(requested, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		got := ""
+		if r := table.Match("h", requested); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Fatalf("%q: route %q, want %q", requested, got, want)
+		}
+	})
+}
+
+// Guards against a cost of compiling that grows with the square of the number of routes: entry instances with a
+// fifth of a processor put a configuration in force later than permitted.
+func TestCompileCostGrowsLinearly(t *testing.T) {
+	const few, factor = 1000, 16
+	cost := func(routes int) time.Duration {
+		d := &Document{Services: []Service{{Name: "s"}}}
+		for i := range routes {
+			d.Routes = append(d.Routes, Route{Host: "h", PathPrefix: fmt.Sprintf("/%08d/", i), Timeout: 1, Targets: []Target{{Service: "s", Weight: 1}}})
+		}
+		least := time.Duration(math.MaxInt64)
+		for range 5 {
+			start := time.Now()
+			if _, err := Compile(d); err != nil {
+				t.Fatal(err)
+			}
+			least = min(least, time.Since(start))
+		}
+		return least
+	}
+	base := cost(few)
+	if large := cost(factor * few); large > 4*factor*base {
+		t.Errorf("%d routes take %v, %d times as many take %v", few, base, factor, large)
+	}
+}
