Store and transfer configurations compressed

Change: the instance that accepts a configuration compresses it. Content on disks of earlier releases is still read.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,7 +19,6 @@
 	"github.com/primrosebeam/primrosebeam/internal/replica"
 	"github.com/primrosebeam/primrosebeam/internal/worker"
 	"github.com/primrosebeam/primrosebeam/placement"
-	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/revision"
 )
 
@@ -158,7 +157,7 @@
 		}
 		r := c.register.Current()
 		c.hub.notifyAttached()
-		table, err := platform.DecodeDocument(r.Content)
+		table, err := fleet.DecodeConfiguration(r.Content)
 		if err != nil {
 			// Only valid configurations are proposed, so a different version of this program wrote it.
 			c.options.Logger.Error().Uint64("number", r.Number).Err(err).Msg("stored configuration is invalid")
--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/platform"
@@ -16,8 +17,9 @@
 const (
 	// operatorTimeout bounds the reading of the header of an operator's request.
 	operatorTimeout = 5 * time.Second
-	// maxDocumentBytes is the size of one log entry, less its envelope.
-	maxDocumentBytes = 1<<20 - 1<<10
+	// maxStoredBytes is the maximum size of a compressed configuration: that of one entry of the log, less its
+	// envelope.
+	maxStoredBytes = consensus.DefaultMaxEntryBytes - 1<<10
 )
 
 // operators returns the HTTP handler of the operator interface.
@@ -30,7 +32,7 @@
 
 func (c *ControlInstance) handleReplace(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleet.MaxDocumentBytes))
 	if err != nil {
 		var tooLong *http.MaxBytesError
 		if errors.As(err, &tooLong) {
@@ -47,7 +49,18 @@
 		return
 	}
 	number := uint64(table.Number)
-	result, err := c.submit(r.Context(), fleet.Submit{Number: number, Content: content})
+	stored, err := fleet.Compress(content)
+	if err != nil {
+		c.options.Logger.Error().Uint64("number", number).Err(err).Msg("configuration not compressed")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if len(stored) > maxStoredBytes {
+		c.options.Logger.Info().Uint64("number", number).Int("bytes", len(stored)).Msg("configuration refused")
+		http.Error(w, "the configuration is too long", http.StatusRequestEntityTooLarge)
+		return
+	}
+	result, err := c.submit(r.Context(), fleet.Submit{Number: number, Content: stored})
 	event := c.options.Logger.Info().Uint64("number", number).Dur("took", time.Since(started))
 	if err != nil {
 		status := httpStatus(err)
@@ -90,8 +103,14 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	document, err := fleet.Expand(current.Content)
+	if err != nil {
+		c.options.Logger.Error().Uint64("number", current.Number).Err(err).Msg("stored configuration is invalid")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	writeBody(w, c, current.Content)
+	writeBody(w, c, document)
 }
 
 func writeBody(w http.ResponseWriter, c *ControlInstance, body []byte) {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -14,7 +14,6 @@
 	"github.com/primrosebeam/primrosebeam/internal/directory"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
-	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/routing"
 )
 
@@ -216,7 +215,7 @@
 // install puts a configuration in force, unless the current one is as new or newer. took is how long its
 // transfer took.
 func (c *controlClient) install(number uint64, content []byte, took time.Duration) error {
-	table, err := platform.DecodeDocument(content)
+	table, err := fleet.DecodeConfiguration(content)
 	if err != nil {
 		return err
 	}
