Block parts of prompts that crash engines

Cause: nothing connected the crashes. Each request was judged by itself and each engine by its own failures, so every instance sent such requests to engine after engine, twice for each attempt. The allocator knew neither the parts of prompts nor whether a failed run had lost its connection.

Change: entry instances report both. The allocator recognises a crash (all connections of an engine lost, or one lost and the engine not reached or gone from the list afterwards) and counts the crashes of each part that was in the prompt of a run without a response. Only runs granted after the former crash count, so that many engines that end at the same time count once, and a response clears its parts, so that those of sound requests stay allowed. From the second crash on one request with the part runs at a time, after the third the part is blocked for two minutes, later longer. Parts blocked by the same crash are told apart by requests that have only one of them. Entry instances hold the list, refuse such requests themselves and tell a new allocator; a control instance saves it with what it has learned.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -78,6 +78,7 @@
 	incarnation uint64
 	received    uint64 // sequence number of the last update that was applied
 	synced      bool   // no update was missed since the last full one
+	reported    bool   // has sent a full update
 	sequence    uint64 // sequence number of the last message that was sent
 	lastSeen    time.Duration
 	decisions   *fleet.Decisions // message being built; nil if there is nothing to send
@@ -160,6 +161,7 @@
 	}
 	a.publishedAt = now
 	l := a.core.Learned()
+	l.Blocked = a.core.BlockedParts(now)
 	a.learned.Store(&l)
 }
 
@@ -225,6 +227,7 @@
 		a.core.SetQuotas(now, e.limits)
 	case e.learned != nil:
 		a.core.TakeOver(*e.learned)
+		a.core.FollowBlockedParts(now, e.learned.Blocked)
 	case e.role != nil:
 		a.setRole(now, *e.role)
 	}
@@ -305,6 +308,12 @@
 		a.reports.instances++
 		a.reports.runs += len(u.Runs)
 		decisions.Leaving = a.notices.Leaving()
+		if !o.reported {
+			// Later ones may lack a change that this allocator has made.
+			o.reported = true
+			a.core.AdoptBlockedParts(now, u.Blocked)
+		}
+		decisions.Blocked = &fleet.BlockList{Parts: a.core.BlockedParts(now)}
 		a.reconcile(now, o, u)
 	}
 	a.applyNotices(now, o, u)
@@ -393,6 +402,7 @@
 		Deadline:           now + time.Duration(in.DeadlineMS)*time.Millisecond,
 		CallerTimeout:      time.Duration(in.CallerTimeoutMS) * time.Millisecond,
 		EventGap:           time.Duration(in.EventGapMS) * time.Millisecond, TokensPerEvent: in.TokensPerEvent,
+		Parts: in.Parts,
 	}
 }
 
@@ -448,11 +458,33 @@
 	for _, h := range a.core.HealthChanges() {
 		a.options.Logger.Info().EmbedObject(&h).Msg(placement.HealthMessage)
 	}
+	for _, crash := range a.core.Crashes() {
+		a.options.Logger.Info().Str("engine", crash.Engine).Str("service", crash.Service).Int("lost", crash.Lost).
+			Int("unstarted", crash.Unstarted).Msg("engine crashed")
+	}
+	a.publishPartChanges(now)
 	a.granted.Add(len(grants))
 	a.rejected.Add(len(rejections))
 	a.waiting.Update(float64(a.core.Waiting()))
 }
 
+// publishPartChanges logs which parts of prompts were blocked and released, and reports all that are blocked to the
+// entry instances.
+func (a *Allocator) publishPartChanges(now time.Duration) {
+	changes := a.core.PartChanges()
+	if len(changes) == 0 {
+		return
+	}
+	list := &fleet.BlockList{Parts: a.core.BlockedParts(now)}
+	for _, change := range changes {
+		a.options.Logger.Warn().Str("service", change.Service).Str("part", strconv.FormatUint(uint64(change.Part), 16)).
+			Bool("blocked", change.Blocked).Int("crashes", change.Crashes).Msg("block of a prompt part changed")
+	}
+	for _, o := range a.owners {
+		o.pendingDecisions().Blocked = list
+	}
+}
+
 func (o *owner) pendingDecisions() *fleet.Decisions {
 	if o.decisions == nil {
 		o.decisions = &fleet.Decisions{LastUpdate: o.received}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -40,6 +40,9 @@
 		joined.Grants = append(joined.Grants, d.Grants...)
 		joined.Rejections = append(joined.Rejections, d.Rejections...)
 		joined.Leaving = append(joined.Leaving, d.Leaving...)
+		if d.Blocked != nil {
+			joined.Blocked = d.Blocked
+		}
 	}
 	delete(c.sent, to)
 	return joined
@@ -313,3 +316,28 @@
 		})
 	}
 }
+
+// Guards against a new allocator that lets other instances send requests with a part that crashes engines, and
+// against one that blocks a part again because an instance has not heard of its release.
+func TestBlockedPartsReachOtherInstances(t *testing.T) {
+	is := is.New(t)
+	a, out := newTestAllocator(1)
+	blocked := []placement.BlockedPart{{Service: "s", Part: 7, LeftMS: 60_000, With: []placement.PartID{7}}}
+	now := time.Second
+	a.deliver(now, sender("first", 1), fleet.Update{Sequence: 1, Full: true})
+	out.take("first")
+	a.deliver(now, sender("second", 1), fleet.Update{Sequence: 1, Full: true, Blocked: blocked})
+	is.Equal(out.take("first").Blocked.Parts, blocked)
+	is.Equal(out.take("second").Blocked.Parts, blocked)
+
+	request := waitingRequest(1)
+	request.Parts = []placement.PartID{7}
+	a.deliver(now, sender("first", 1), fleet.Update{Sequence: 2, Arrivals: []fleet.Request{request}})
+	is.Equal(out.take("first").Rejections[0].Reason, placement.ReasonBlockedPart)
+
+	a.core.FollowBlockedParts(now, nil) // releases it
+	a.deliver(now, sender("first", 1), fleet.Update{Sequence: 3})
+	is.Equal(len(out.take("first").Blocked.Parts), 0)
+	a.deliver(now, sender("second", 1), fleet.Update{Sequence: 2, Full: true, Blocked: blocked})
+	is.Equal(len(out.take("second").Blocked.Parts), 0)
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/routing"
 )
@@ -28,6 +29,7 @@
 	body          []byte
 	tokens        platform.TokenCounts
 	hasTokens     bool
+	parts         []placement.PartID // parts of the prompt of a model request that others may share
 
 	arrived  time.Duration // by clock()
 	dueAt    time.Duration // time at which the response, or the first event of a stream, is due
@@ -48,6 +50,8 @@
 	headerSent  bool          // the header of the response was sent to the caller
 	status      int           // status of the response sent to the caller
 	cause       string        // cause of the most recent failed send
+	// connectionLost states whether the engine closed or reset the connection of the most recent send.
+	connectionLost bool
 }
 
 // ServeHTTP serves a caller's request.
@@ -105,6 +109,9 @@
 	x.setDeadline()
 	x.edge.retries.addRequest(clock(), x.service.Name)
 	x.tokens, x.hasTokens = platform.ParseTokenCounts(x.request.Header)
+	if x.service.Model != nil {
+		x.parts = platform.ParsePromptParts(x.request.Header)
+	}
 	return 0, ""
 }
 
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -96,6 +96,7 @@
 	allocators       func() []string
 	entryCount       func() int
 	notices          *placement.Notices
+	blocked          *placement.BlockList
 	onLeaving        func(engine, source string) bool // must not block
 	logger           zerolog.Logger
 	events           *ring.Ring[placerEvent]
@@ -129,7 +130,7 @@
 ) *placer {
 	p := &placer{
 		link: l, name: control.name, dataCentre: control.dataCentre, allocators: control.allocators,
-		notices: notices, onLeaving: onLeaving,
+		notices: notices, blocked: &placement.BlockList{}, onLeaving: onLeaving,
 		entryCount: func() int { return int(control.entryCount.Load()) },
 		logger:     o.Logger,
 		events:     ring.New[placerEvent](eventCapacity),
@@ -314,6 +315,9 @@
 		p.local.MarkLeaving(engine)
 		p.onLeaving(engine, from)
 	}
+	if decisions.Blocked != nil {
+		p.blocked.Set(now, decisions.Blocked.Parts)
+	}
 	for i := range decisions.Grants {
 		p.grant(now, decisions.Grants[i].ID, slotDecision{
 			engine: decisions.Grants[i].Engine, running: decisions.Grants[i].Running, allocator: from,
@@ -420,7 +424,7 @@
 }
 
 func (p *placer) fullUpdate(now time.Duration) *fleet.Update {
-	u := &fleet.Update{Full: true, Charges: p.pendingUpdate().Charges, Leaving: p.notices.Leaving()}
+	u := &fleet.Update{Full: true, Charges: p.pendingUpdate().Charges, Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now)}
 	for engine, until := range p.notices.Rests(now) {
 		u.Rests = append(u.Rests, newFleetRest(now, engine, until))
 	}
@@ -462,5 +466,6 @@
 		DeadlineMS:           (r.Deadline - now).Milliseconds(),
 		CallerTimeoutMS:      r.CallerTimeout.Milliseconds(),
 		EventGapMS:           r.EventGap.Milliseconds(), TokensPerEvent: r.TokensPerEvent,
+		Parts: r.Parts,
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -46,7 +46,7 @@
 			return
 		}
 		last := x.send(ctx, acquired)
-		acquired.end(outcomeOf(last), x.outputTokens())
+		acquired.end(x.outcomeOf(last), x.outputTokens())
 		if !x.shouldRetry(last) {
 			x.finish(last)
 			return
@@ -57,7 +57,7 @@
 	}
 }
 
-func outcomeOf(r sendResult) placement.Outcome {
+func (x *exchange) outcomeOf(r sendResult) placement.Outcome {
 	switch r {
 	case resultDone:
 		return placement.OutcomeCompleted
@@ -68,6 +68,9 @@
 	case resultCallerLeft, resultDeadline:
 		return placement.OutcomeCancelled
 	}
+	if x.connectionLost {
+		return placement.OutcomeConnectionLost
+	}
 	return placement.OutcomeFailed
 }
 
@@ -148,9 +151,20 @@
 	return slot{}, false
 }
 
+// blockedFor returns how long requests with the parts of the prompt of this one are blocked, or 0.
+func (x *exchange) blockedFor(now time.Duration) time.Duration {
+	if len(x.parts) == 0 {
+		return 0
+	}
+	return x.edge.placer.blocked.BlockedFor(now, x.service.Name, x.parts)
+}
+
 // checkPermissions returns the reason for which the request must not be sent now, or an empty one.
 func (x *exchange) checkPermissions(now time.Duration) (why reason, retryAfter time.Duration) {
+	blocked := x.blockedFor(now)
 	switch {
+	case blocked > 0:
+		return reason(placement.ReasonBlockedPart), blocked
 	case x.deadline <= now:
 		return reason(placement.ReasonDeadline), quotaRetry
 	case x.workspace != nil && x.sends == 0 && x.edge.control.leaseLeft() <= 0:
@@ -165,6 +179,10 @@
 	if x.service.Model == nil {
 		return x.pickEngine()
 	}
+	if left := x.blockedFor(clock()); left > 0 {
+		x.finishUnplaced(reason(placement.ReasonBlockedPart), left)
+		return slot{}, false
+	}
 	t, err := x.edge.placer.Submit(x.placementRequest())
 	if err != nil {
 		x.finishUnplaced(reasonQueueFull, notReadyRetry)
@@ -233,6 +251,7 @@
 		FirstEventDeadline: x.firstEventDeadline(), Deadline: x.deadline,
 		EventGap: x.route.EventGap, TokensPerEvent: x.service.Model.TokensPerEvent,
 		CallerTimeout: x.callerTimeout, ExcludedEngines: x.excluded, PartlyDelivered: x.headerSent,
+		Parts: x.parts,
 	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -43,7 +43,7 @@
 func (x *exchange) send(ctx context.Context, s slot) sendResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.engine = s.engine.ID
+	x.engine, x.connectionLost = s.engine.ID, false
 	request, connection, err := x.engineRequest(ctx, s.engine)
 	if err != nil {
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("building the request for the engine failed")
@@ -180,6 +180,7 @@
 		return resultDeadline
 	}
 	x.sends++
+	x.connectionLost = true
 	return resultFailed
 }
 
@@ -247,7 +248,7 @@
 	start, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
 	if err != nil || hasBody && r.ContentLength > maxResponseBytes {
 		x.cause = causeOf(err, watch)
-		return x.classifyBodyError(watch)
+		return x.classifyBodyError(watch, err)
 	}
 	if x.headerSent {
 		return resultIncomplete // a stream has begun, which this response can't continue
@@ -296,8 +297,9 @@
 	x.headerSent, x.status = true, r.StatusCode
 }
 
-// classifyBodyError returns the result of a send whose response body ended early.
-func (x *exchange) classifyBodyError(watch *watchdog) sendResult {
+// classifyBodyError returns the result of a send whose response body ended early. err is the error of the
+// connection, or nil if it is intact.
+func (x *exchange) classifyBodyError(watch *watchdog, err error) sendResult {
 	switch {
 	case x.request.Context().Err() != nil:
 		return resultCallerLeft
@@ -306,6 +308,7 @@
 	case x.timeLeft() <= 0:
 		return resultDeadline
 	}
+	x.connectionLost = err != nil
 	return resultFailed
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -91,14 +91,18 @@
 		}
 		if err != nil {
 			x.cause = causeOf(err, watch)
-			return x.classifyStreamError(watch)
+			var tooLong *EventTooLongError
+			if errors.As(err, &tooLong) {
+				err = nil
+			}
+			return x.classifyStreamError(watch, err)
 		}
 		id, numbered := eventID(event)
 		if numbered && x.lastEventID != 0 && id != x.lastEventID+1 {
 			x.edge.options.Logger.Warn().Str("id", x.id).Str("engine", s.engine.ID).
 				Int("event", id).Int("expected", x.lastEventID+1).Msg("stream out of order")
 			x.cause = "the stream went on with another event"
-			return x.classifyStreamError(watch)
+			return x.classifyStreamError(watch, nil)
 		}
 		if !started {
 			started = true
@@ -150,8 +154,8 @@
 	return max(gapTimeoutFactor*x.route.EventGap, time.Second)
 }
 
-func (x *exchange) classifyStreamError(watch *watchdog) sendResult {
-	result := x.classifyBodyError(watch)
+func (x *exchange) classifyStreamError(watch *watchdog, err error) sendResult {
+	result := x.classifyBodyError(watch, err)
 	if result == resultFailed && x.headerSent {
 		return resultIncomplete
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -117,6 +117,8 @@
 	Answered    uint64    `cbor:"10,keyasint,omitempty"` // sequence number of the last Decisions received
 	Leaving     []string  `cbor:"11,keyasint,omitempty"` // IDs of engines that stated that they are leaving
 	Rests       []Rest    `cbor:"12,keyasint,omitempty"`
+	// Blocked holds the blocked parts of prompts that the sender knows of. Set in full updates.
+	Blocked []placement.BlockedPart `cbor:"13,keyasint,omitempty"`
 }
 
 // Rest reports that an engine wants no requests from the sender for some time.
@@ -146,6 +148,8 @@
 	EventGapMS           int64    `cbor:"18,keyasint,omitempty"`
 	TokensPerEvent       int      `cbor:"19,keyasint,omitempty"`
 	PartlyDelivered      bool     `cbor:"17,keyasint,omitempty"` // the caller has the first part of the response
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []placement.PartID `cbor:"20,keyasint,omitempty"`
 }
 
 // Run is a request that runs on an engine.
@@ -181,6 +185,12 @@
 	Rejections          []Rejection `cbor:"5,keyasint,omitempty"`
 	ExhaustedWorkspaces []string    `cbor:"6,keyasint,omitempty"` // workspaces without remaining quota
 	Leaving             []string    `cbor:"7,keyasint,omitempty"` // IDs of engines that stated that they are leaving
+	Blocked             *BlockList  `cbor:"8,keyasint,omitempty"` // set if it has changed, or after a full update
+}
+
+// BlockList holds all parts of prompts that are blocked.
+type BlockList struct {
+	Parts []placement.BlockedPart `cbor:"1,keyasint,omitempty"`
 }
 
 // Grant assigns a slot of an engine to a request.
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -155,7 +155,7 @@
 	case OutcomeCompleted:
 		e.probation = false
 		e.failureRate -= e.failureRate / failureWindow
-	case OutcomeFailed:
+	case OutcomeFailed, OutcomeConnectionLost:
 		e.failureRate += (1 - e.failureRate) / failureWindow
 		if e.failureRate > backendFailureLimit {
 			e.suspendedUntil = now + backendPause
--- a/placement/core.go
+++ b/placement/core.go
@@ -28,6 +28,8 @@
 	grants        []Grant
 	rejections    []Rejection
 	healthChanges []HealthChange
+	crashes       []Crash
+	decidedAt     time.Duration // time of the last call of Decide
 }
 
 // trackedRequest is a request and its scheduling state.
@@ -61,6 +63,7 @@
 	// reviewAt is the time of the next re-estimation of the expected waits.
 	reviewAt       time.Duration
 	recentArrivals arrivals
+	suspects       suspects
 }
 
 // slots returns the mean number of slots of the engines of the service, or 1 if there is no engine.
@@ -109,6 +112,9 @@
 		switch {
 		case seen[id]:
 		case len(e.runs) == 0:
+			if !e.Leaving {
+				c.recordCrash(c.decidedAt, e) // it has vanished without notice
+			}
 			delete(c.engines, id)
 		default:
 			e.Leaving = true
@@ -176,13 +182,17 @@
 	if c.requests[r.ID] != nil {
 		return
 	}
-	if wait, ok := c.spend(now, r.Workspace, r.Charge, c.hasIdleSlot(now, c.service(r.Service))); !ok {
+	s := c.service(r.Service)
+	if left := s.suspects.blockedFor(now, r.Parts); left > 0 {
+		c.reject(now, &trackedRequest{Request: r}, ReasonBlockedPart, left, 0)
+		return
+	}
+	if wait, ok := c.spend(now, r.Workspace, r.Charge, c.hasIdleSlot(now, s)); !ok {
 		c.reject(now, &trackedRequest{Request: r}, ReasonQuota, wait, 0)
 		return
 	}
 	tracked := &trackedRequest{Request: r}
 	c.requests[r.ID] = tracked
-	s := c.service(r.Service)
 	stats := s.routeStats(r.Route)
 	tracked.outputTokens = stats.expectedOutput(&r)
 	c.setDensity(s, tracked)
@@ -282,7 +292,9 @@
 	if r.alone {
 		c.latency.learnPrefill(r.engine, now-r.grantedAt, r.PromptTokens)
 	}
+	c.service(r.Service).suspects.recordResponse(now, r.Parts)
 	before := r.engine.health()
+	r.engine.clearLosses(r)
 	r.engine.recordResponse(now)
 	c.recordHealthChange(r.engine, before, OutcomeCompleted)
 }
@@ -304,6 +316,8 @@
 	defer c.recordHealthChange(e, e.health(), outcome)
 	switch outcome {
 	case OutcomeCompleted:
+		c.service(r.Service).suspects.recordResponse(now, r.Parts)
+		e.clearLosses(r)
 		e.recordResponse(now)
 		c.service(r.Service).routeStats(r.Route).learnOutput(tokens)
 		if r.started && tokens > 0 {
@@ -314,12 +328,19 @@
 		if outcome == OutcomeRefused {
 			e.recordRefusal(now)
 		}
-	case OutcomeFailed:
+	case OutcomeFailed, OutcomeConnectionLost:
 		s := c.service(e.Service)
 		e.recordFailure(now, s.maySuspend(now), s.mayThrottle(now))
+		if outcome == OutcomeConnectionLost {
+			e.recordLoss(now, r)
+		}
+		if e.lostAll() {
+			c.recordCrash(now, e)
+		}
 	case OutcomeUnreachable:
 		c.refund(r.Workspace, r.Charge)
 		e.recordUnreachable(now)
+		c.recordCrash(now, e)
 	case OutcomeCancelled:
 	}
 }
@@ -386,8 +407,10 @@
 // The returned slices are valid until the next call.
 func (c *Core) Decide(now time.Duration) ([]Grant, []Rejection) {
 	c.grants = c.grants[:0]
+	c.decidedAt = now
 	c.releaseDetached(now)
 	for _, s := range c.services {
+		c.rejectBlocked(now, s)
 		c.expire(now, s)
 		for c.grantNext(now, s) {
 		}
@@ -418,6 +441,7 @@
 	r.firstEventLimit = c.firstEventLimit(r)
 	s.routeStats(r.Route).rates.serve(r.sizeClass)
 	e.add(r)
+	s.suspects.recordGrant(r)
 	c.grants = append(c.grants, Grant{Request: r.ID, Owner: r.Owner, Engine: e.Engine, Running: len(e.runs)})
 	return true
 }
--- /dev/null
+++ b/placement/crash.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// crashWindow is the time between the loss of a connection and the sign that the engine has crashed: a crashed
+// engine is tried again soon, and leaves the platform's list after some seconds.
+const crashWindow = 5 * time.Second
+
+// lostRun is a run whose connection was lost before the engine responded.
+type lostRun struct {
+	parts     []PartID
+	grantedAt time.Duration
+	lostAt    time.Duration
+}
+
+// losses holds the runs of an engine whose connections were lost, until it is known whether the engine has crashed.
+// A single lost connection does not show that: engines also reset single requests.
+type losses struct {
+	count     int // started ones included
+	since     time.Duration
+	unstarted []lostRun
+}
+
+// Crash reports an engine that has crashed.
+type Crash struct {
+	Engine    string
+	Service   string
+	Lost      int // runs whose connections were lost
+	Unstarted int // those of them without a response
+}
+
+// recordLoss records that the connection of a run was lost.
+func (e *engine) recordLoss(now time.Duration, r *trackedRequest) {
+	if e.losses.count > 0 && now-e.losses.since > crashWindow {
+		e.losses = losses{}
+	}
+	if e.losses.count == 0 {
+		e.losses.since = now
+	}
+	e.losses.count++
+	if !r.started && len(r.Parts) > 0 {
+		e.losses.unstarted = append(e.losses.unstarted, lostRun{parts: r.Parts, grantedAt: r.grantedAt, lostAt: now})
+	}
+}
+
+// clearLosses forgets the lost connections, as the engine has responded to a run that was granted afterwards.
+func (e *engine) clearLosses(r *trackedRequest) {
+	if e.losses.count > 0 && r.grantedAt > e.losses.since {
+		e.losses = losses{}
+	}
+}
+
+// lostAll reports whether the connections of several runs were lost and none is left.
+func (e *engine) lostAll() bool { return e.losses.count > 1 && len(e.runs) == 0 }
+
+// recordCrash records that an engine with lost connections has crashed, if it has any.
+func (c *Core) recordCrash(now time.Duration, e *engine) {
+	lost := e.losses
+	e.losses = losses{}
+	if lost.count == 0 || now-lost.since > crashWindow {
+		return
+	}
+	s := c.service(e.Service)
+	for i := range lost.unstarted {
+		s.suspects.recordCrash(now, &lost.unstarted[i])
+	}
+	known := e.crashedAt != 0 && now-e.crashedAt <= crashWindow // the rest of the runs of the same crash
+	if e.crashedAt = now; !known && len(c.crashes) < maxHealthChanges {
+		c.crashes = append(c.crashes, Crash{Engine: e.ID, Service: e.Service, Lost: lost.count, Unstarted: len(lost.unstarted)})
+	}
+}
+
+// Crashes returns the crashes since the last call.
+func (c *Core) Crashes() []Crash {
+	crashes := c.crashes
+	c.crashes = nil
+	return crashes
+}
+
+// PartChanges returns the parts of prompts that were blocked or released since the last call.
+func (c *Core) PartChanges() []PartChange {
+	var changes []PartChange
+	for name, s := range c.services {
+		for _, change := range s.suspects.changes {
+			change.Service = name
+			changes = append(changes, change)
+		}
+		s.suspects.changes = nil
+	}
+	return changes
+}
+
+// BlockedParts returns the parts of prompts that are blocked.
+func (c *Core) BlockedParts(now time.Duration) []BlockedPart {
+	var list []BlockedPart
+	for name, s := range c.services {
+		list = s.suspects.blocked(now, name, list)
+	}
+	slices.SortFunc(list, func(a, b BlockedPart) int { return int(a.LeftMS - b.LeftMS) })
+	return list
+}
+
+// AdoptBlockedParts blocks the parts that another core has blocked.
+func (c *Core) AdoptBlockedParts(now time.Duration, list []BlockedPart) {
+	for i := range list {
+		c.service(list[i].Service).suspects.adopt(now, &list[i])
+	}
+}
+
+// FollowBlockedParts blocks the parts that the core which this one follows has blocked, and releases those that it
+// has released.
+func (c *Core) FollowBlockedParts(now time.Duration, list []BlockedPart) {
+	for name, s := range c.services {
+		s.suspects.dropAdopted(now, name, list)
+	}
+	c.AdoptBlockedParts(now, list)
+}
+
+// rejectBlocked rejects the waiting requests with a blocked part.
+func (c *Core) rejectBlocked(now time.Duration, s *service) {
+	if len(s.suspects.parts) == 0 {
+		return
+	}
+	c.rejectWaiting(now, s, func(_ int, r *trackedRequest) (Reason, time.Duration) {
+		if left := s.suspects.blockedFor(now, r.Parts); left > 0 {
+			return ReasonBlockedPart, left
+		}
+		return "", 0
+	})
+}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -48,6 +48,8 @@
 	EventGap             time.Duration // longest pause between events with which a response is on time; 0 if unknown
 	TokensPerEvent       int           // number of output tokens of an event; 0 if unknown
 	PartlyDelivered      bool          // the caller has received the first part of the response
+	// Parts are the parts of the prompt that other requests may share. Their number is bounded by the owner.
+	Parts []PartID
 }
 
 // Grant assigns a slot of an engine to a request.
@@ -67,6 +69,8 @@
 	ReasonOverload Reason = "overload"  // too much work of more valuable requests is queued ahead of it
 	ReasonNoEngine Reason = "no-engine" // no engine of the service may run it
 	ReasonQuota    Reason = "quota"     // its workspace has used up its quota
+	// ReasonBlockedPart means that a part of the prompt has crashed several engines.
+	ReasonBlockedPart Reason = "blocked-part"
 )
 
 // Rejection reports a request that is dropped without having been sent to an engine.
@@ -92,9 +96,11 @@
 	OutcomeFailed                     // the response broke off, or there was none
 	OutcomeUnreachable                // no connection to the engine could be opened
 	OutcomeUnused                     // the grant arrived too late to be used
+	// OutcomeConnectionLost is OutcomeFailed because the engine closed or reset the connection.
+	OutcomeConnectionLost
 )
 
-var outcomeNames = [...]string{"answered", "cancelled", "refused", "failed", "unreached", "unused"}
+var outcomeNames = [...]string{"answered", "cancelled", "refused", "failed", "unreached", "unused", "lost"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -57,6 +57,8 @@
 	throttled           bool // one request at a time, none before pausedUntil
 	pausedUntil         time.Duration
 	lastResponse        time.Duration // last time that a run delivered its first event or completed
+	losses              losses
+	crashedAt           time.Duration // last crash, 0 if there was none
 	// rests holds until when the engine wants no requests from an owner. Nil while there is none.
 	rests map[string]time.Duration
 }
--- a/placement/learned.go
+++ b/placement/learned.go
@@ -7,6 +7,7 @@
 	PrefillMS float64         `cbor:"2,keyasint"`
 	Engines   []LearnedEngine `cbor:"3,keyasint,omitempty"`
 	Routes    []LearnedRoute  `cbor:"4,keyasint,omitempty"`
+	Blocked   []BlockedPart   `cbor:"5,keyasint,omitempty"`
 }
 
 // LearnedEngine is what was learned about an engine.
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -35,6 +35,9 @@
 	var bestEngine *engine
 	highest := -1.0
 	for _, r := range s.waiting {
+		if s.suspects.mustWait(now, r.Parts) {
+			continue
+		}
 		engine, value := c.bestEngine(now, r, free)
 		if engine == nil {
 			continue
--- /dev/null
+++ b/placement/suspects.go
@@ -0,0 +1,284 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// PartID identifies a part of a prompt. Requests whose prompts share a part have the same ID for it.
+type PartID uint64
+
+const (
+	// blockAfter is the number of crashes in a row after which a part is blocked. A response to any request with
+	// the part ends the row.
+	blockAfter = 3
+	// trialAfter is the number of crashes in a row from which only one request with the part is on trial at a
+	// time, so that further crashes are few. Crashes that have nothing to do with a part rarely reach it.
+	trialAfter = 2
+	// firstBlock is how long a part is blocked at first. Each further block lasts twice as long, up to maxBlock:
+	// a trial with a part that still crashes engines costs the streams of one engine.
+	firstBlock = 2 * time.Minute
+	maxBlock   = time.Hour
+	// suspicionTime is the time without a further crash after which a part that is not blocked is forgotten.
+	suspicionTime = time.Minute
+	// maxSuspects is the maximum number of parts that are tracked for a service.
+	maxSuspects = 4096
+)
+
+// suspects tracks the parts of prompts that may crash the engines of a service. It is made for a prompt that an
+// engine cannot bear: every engine that begins to respond to a request with it ends, and all instances send such
+// requests, which also contain parts of sound ones.
+//
+// A part is suspected if it was in the prompt of a run that had no response when its engine crashed. Only a run
+// that was granted after the former crash counts as a further one, so crashes of many engines at the same time
+// count once. As sound requests share their other parts, a response clears all but the part at fault.
+type suspects struct {
+	parts   map[PartID]*suspect
+	changes []PartChange
+	// released holds when blocked parts were released. Others may still report the block.
+	released map[PartID]time.Duration
+}
+
+// suspect is a part of a prompt with the crashes since the last response to a request with it.
+type suspect struct {
+	crashes      int
+	lastCrash    time.Duration
+	trial        *trackedRequest // newest run since trialAfter was reached
+	blockedUntil time.Duration
+	blockTime    time.Duration // length of the last block, 0 before the first one
+	// blockedWith holds the parts that were blocked because of the same crash, with this one. One of them may
+	// be sound: a request that has only some of them may run on trial.
+	blockedWith []PartID
+	adopted     bool // blocked by another core, which this one follows
+}
+
+// PartChange reports that a part of prompts was blocked or released.
+type PartChange struct {
+	Service string
+	Part    PartID
+	Blocked bool
+	Crashes int // in a row
+}
+
+// BlockedPart is a part of prompts that is blocked for a service.
+type BlockedPart struct {
+	Service string   `cbor:"1,keyasint"`
+	Part    PartID   `cbor:"2,keyasint"`
+	LeftMS  int64    `cbor:"3,keyasint"` // remaining time of the block
+	With    []PartID `cbor:"4,keyasint,omitempty"`
+}
+
+// applies reports whether a request with the given parts is blocked by b.
+func (b *BlockedPart) applies(service string, parts []PartID) bool {
+	return b.Service == service && slices.Contains(parts, b.Part) && containsAll(parts, b.With)
+}
+
+func containsAll(parts, wanted []PartID) bool {
+	for _, part := range wanted {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *suspect) isBlocked(now time.Duration) bool { return now < s.blockedUntil }
+
+func (s *suspect) isForgotten(now time.Duration) bool {
+	return s.blockTime == 0 && now-s.lastCrash > suspicionTime
+}
+
+// onTrial reports whether the outcome of a run with the part is awaited.
+func (s *suspect) onTrial() bool { return s.trial != nil && s.trial.engine != nil && !s.trial.started }
+
+// recordCrash records that an engine crashed before it responded to a run.
+func (t *suspects) recordCrash(now time.Duration, run *lostRun) {
+	if t.refine(now, run.parts) {
+		return
+	}
+	var reached []PartID
+	for _, part := range run.parts {
+		s := t.suspect(now, part)
+		if s.crashes > 0 && run.grantedAt <= s.lastCrash {
+			continue
+		}
+		s.crashes++
+		s.lastCrash = run.lostAt
+		if s.crashes >= blockAfter {
+			reached = append(reached, part)
+		}
+	}
+	for _, part := range reached {
+		t.block(now, part, reached)
+	}
+}
+
+// refine handles the crash of a run with blocked parts, which explain it. If the run had only some of the parts
+// that were blocked together, the others are released. It reports whether the run had a blocked part.
+func (t *suspects) refine(now time.Duration, parts []PartID) bool {
+	explained := false
+	for _, part := range parts {
+		s := t.parts[part]
+		if s == nil || !s.isBlocked(now) {
+			continue
+		}
+		explained = true
+		var guilty []PartID
+		for _, other := range s.blockedWith {
+			if slices.Contains(parts, other) {
+				guilty = append(guilty, other)
+			} else {
+				t.release(now, other)
+			}
+		}
+		s.blockedWith = guilty
+	}
+	return explained
+}
+
+// suspect returns the record of a part, and creates it if there is none.
+func (t *suspects) suspect(now time.Duration, part PartID) *suspect {
+	s := t.parts[part]
+	if s == nil || s.isForgotten(now) {
+		if t.parts == nil {
+			t.parts = map[PartID]*suspect{}
+		}
+		if len(t.parts) >= maxSuspects {
+			t.evict(now)
+		}
+		s = &suspect{}
+		t.parts[part] = s
+	}
+	return s
+}
+
+// evict removes the part that is not blocked and whose last crash is the oldest, or any part if all are blocked.
+func (t *suspects) evict(now time.Duration) {
+	var oldest PartID
+	var found *suspect
+	for part, s := range t.parts {
+		if found == nil || !s.isBlocked(now) && (found.isBlocked(now) || s.lastCrash < found.lastCrash) {
+			oldest, found = part, s
+		}
+	}
+	delete(t.parts, oldest)
+}
+
+func (t *suspects) block(now time.Duration, part PartID, with []PartID) {
+	s := t.parts[part]
+	delete(t.released, part)
+	s.blockTime = min(max(2*s.blockTime, firstBlock), maxBlock)
+	s.blockedUntil = now + s.blockTime
+	s.blockedWith = with
+	t.changes = append(t.changes, PartChange{Part: part, Blocked: true, Crashes: s.crashes})
+}
+
+// release forgets a part, which no longer counts as one of those that were blocked together.
+func (t *suspects) release(now time.Duration, part PartID) {
+	s := t.parts[part]
+	if s == nil {
+		return
+	}
+	delete(t.parts, part)
+	for _, other := range s.blockedWith {
+		if o := t.parts[other]; o != nil {
+			o.blockedWith = slices.DeleteFunc(slices.Clone(o.blockedWith), func(p PartID) bool { return p == part })
+		}
+	}
+	if s.isBlocked(now) {
+		t.changes = append(t.changes, PartChange{Part: part, Crashes: s.crashes})
+		t.recordRelease(now, part)
+	}
+}
+
+func (t *suspects) recordRelease(now time.Duration, part PartID) {
+	maps.DeleteFunc(t.released, func(_ PartID, at time.Duration) bool { return now-at > maxBlock })
+	if t.released == nil {
+		t.released = map[PartID]time.Duration{}
+	}
+	if len(t.released) < maxSuspects {
+		t.released[part] = now
+	}
+}
+
+// recordResponse records that an engine responded to a request with these parts.
+func (t *suspects) recordResponse(now time.Duration, parts []PartID) {
+	if len(t.parts) == 0 {
+		return
+	}
+	for _, part := range parts {
+		t.release(now, part)
+	}
+}
+
+// recordGrant records a run, which is the trial of its suspected parts.
+func (t *suspects) recordGrant(r *trackedRequest) {
+	for _, part := range r.Parts {
+		if s := t.parts[part]; s != nil && s.crashes >= trialAfter {
+			s.trial = r
+		}
+	}
+}
+
+// blockedFor returns how long requests with these parts are blocked, or 0.
+func (t *suspects) blockedFor(now time.Duration, parts []PartID) time.Duration {
+	longest := time.Duration(0)
+	for _, part := range parts {
+		if s := t.parts[part]; s != nil && s.isBlocked(now) && containsAll(parts, s.blockedWith) {
+			longest = max(longest, s.blockedUntil-now)
+		}
+	}
+	return longest
+}
+
+// mustWait reports whether a request must wait for the outcome of a trial.
+func (t *suspects) mustWait(now time.Duration, parts []PartID) bool {
+	if len(t.parts) == 0 {
+		return false
+	}
+	for _, part := range parts {
+		if s := t.parts[part]; s != nil && s.crashes >= trialAfter && !s.isForgotten(now) && s.onTrial() {
+			return true
+		}
+	}
+	return false
+}
+
+// blocked appends the blocked parts of the service to list.
+func (t *suspects) blocked(now time.Duration, service string, list []BlockedPart) []BlockedPart {
+	for part, s := range t.parts {
+		if s.isBlocked(now) {
+			list = append(list, BlockedPart{
+				Service: service, Part: part, LeftMS: (s.blockedUntil - now).Milliseconds(), With: s.blockedWith,
+			})
+		}
+	}
+	return list
+}
+
+// adopt blocks a part that another core has blocked, unless this core has its own record of it or has released it.
+func (t *suspects) adopt(now time.Duration, b *BlockedPart) {
+	left := min(time.Duration(max(b.LeftMS, 0))*time.Millisecond, maxBlock)
+	_, released := t.released[b.Part]
+	if s := t.parts[b.Part]; released || left == 0 || s != nil && (s.isBlocked(now) || !s.adopted) {
+		return
+	}
+	s := t.suspect(now, b.Part)
+	*s = suspect{
+		crashes: blockAfter, lastCrash: now, blockedUntil: now + left, blockTime: max(left, firstBlock),
+		blockedWith: b.With, adopted: true,
+	}
+	t.changes = append(t.changes, PartChange{Part: b.Part, Blocked: true, Crashes: s.crashes})
+}
+
+// dropAdopted releases the adopted parts that are not in list.
+func (t *suspects) dropAdopted(now time.Duration, service string, list []BlockedPart) {
+	for part, s := range t.parts {
+		listed := slices.ContainsFunc(list, func(b BlockedPart) bool { return b.Service == service && b.Part == part })
+		if s.adopted && !listed {
+			t.release(now, part)
+			delete(t.released, part) // its evidence is not known here
+		}
+	}
+}
