--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -174,6 +174,10 @@
 	return response.StatusCode, string(data), err
 }
 
+// furtherRoutes returns the number of further routes of a configuration: up to 6,000, so that some configurations
+// take several parts to transfer and some exceed one entry of the log when they are not compressed.
+func furtherRoutes(number int) int { return number % 5 * 1500 }
+
 // replaceConfiguration sends a new configuration, with a new second key, to one control instance after the
 // other until it is acknowledged, and checks the configurations that are read back. With revoke, it records
 // the former second key as revoked.
@@ -186,7 +190,7 @@
 		removed = w.keys[1]
 	}
 	w.keys = []string{standin.WorkspaceKey, fmt.Sprint("key-", number)}
-	document := standin.Document(number, w.keys...)
+	document := standin.LargeDocument(number, furtherRoutes(number), w.keys...)
 	if removed == "" && number > 1 {
 		removed = "-" // The former second key is removed too, but its revocation is not checked.
 	}
