Do not await a trial at an engine that stays silent

Found by reading: from its second crash on, a suspected part runs one request at a time, and the others wait until that one responds or ends. At an engine that hangs this takes until the deadline, and sound requests with a part that is suspected by chance would wait as long. A trial now counts only as long as its engine is not taken for unresponsive. TestTrialAtSilentEngineIsNotAwaited failed before (no second grant).

--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -89,8 +89,12 @@
 	return s.blockTime == 0 && now-s.lastCrash > suspicionTime
 }
 
-// onTrial reports whether the outcome of a run with the part is awaited.
-func (s *suspect) onTrial() bool { return s.trial != nil && s.trial.engine != nil && !s.trial.started }
+// onTrial reports whether the outcome of a run with the part is awaited. A run at an engine that stays silent for
+// too long is no trial any more.
+func (s *suspect) onTrial(now time.Duration) bool {
+	r := s.trial
+	return r != nil && r.engine != nil && !r.started && now-r.grantedAt <= r.firstEventLimit
+}
 
 // recordCrash records that an engine crashed before it responded to a run.
 func (t *suspects) recordCrash(now time.Duration, run *lostRun) {
@@ -238,7 +242,7 @@
 		return false
 	}
 	for _, part := range parts {
-		if s := t.parts[part]; s != nil && s.crashes >= trialAfter && !s.isForgotten(now) && s.onTrial() {
+		if s := t.parts[part]; s != nil && s.crashes >= trialAfter && !s.isForgotten(now) && s.onTrial(now) {
 			return true
 		}
 	}
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -153,6 +153,23 @@
 	is.Equal(p.ended, blockAfter)
 }
 
+// Guards against requests that wait for a trial at an engine that hangs.
+func TestTrialAtSilentEngineIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	p := newCrashingPool(t, 6)
+	for range trialAfter {
+		p.run(deadlyPart)
+	}
+	p.arrive(deadlyPart)
+	next := p.arrive(deadlyPart)
+	grants, _ := p.decide()
+	is.Equal(len(grants), 1)
+	p.now += p.core.requests[grants[0].Request].firstEventLimit
+	grants, _ = p.decide()
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].Request, next)
+}
+
 // Guards against blocking the parts of sound requests after a power cut or an update that ends many engines at the
 // same time.
 func TestCrashesAtTheSameTimeCountOnce(t *testing.T) {
