Refuse streams on kept connections that a stop would cut

Cause: the response to a stream that began before the signal does not announce the end of its connection. The caller sends the next request on it as soon as the stream is over, and the stop took every request until its end.

Change: once the balancer has noticed the stop, a request whose response may last beyond the end of the stop is refused with 503, without Retry-After, as another instance can serve it at once.

Measured: TestStreamTakenLateInStopIsNotCut failed (the stream ended early), now passes; TestStopServesRequestsBeingRead passes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,19 +46,22 @@
 
 // Edge is an entry instance.
 type Edge struct {
-	options           Options
-	link              *link.Node
-	control           *controlClient
-	placer            *placer
-	balancer          *placement.Balancer
-	notices           *placement.Notices
-	directory         *directory.Reader
-	retries           *retryBudget
-	transport         *http.Transport
-	counters          *counters
-	configured        chan struct{} // closed when the first configuration is in force
-	configuredOnce    sync.Once
-	stopping          atomic.Bool
+	options        Options
+	link           *link.Node
+	control        *controlClient
+	placer         *placer
+	balancer       *placement.Balancer
+	notices        *placement.Notices
+	directory      *directory.Reader
+	retries        *retryBudget
+	transport      *http.Transport
+	counters       *counters
+	configured     chan struct{} // closed when the first configuration is in force
+	configuredOnce sync.Once
+	stopping       atomic.Bool
+	// stopEnd is the time at which a stop cuts the requests that are still in progress, by clock(); 0 until the
+	// load balancer had the time to remove this instance.
+	stopEnd           atomic.Int64
 	started           time.Duration
 	nextDirectoryRead atomic.Int64
 }
@@ -203,6 +206,12 @@
 	}
 }
 
+// isCutBefore reports whether a stop of this instance would cut a request that ends at the given time.
+func (e *Edge) isCutBefore(requestEnd time.Duration) bool {
+	end := time.Duration(e.stopEnd.Load())
+	return end != 0 && end < requestEnd
+}
+
 // stop takes the instance out of service without interrupting requests. It reports that the instance is not
 // ready, continues to serve until the load balancer has removed the instance, closes idle connections and
 // waits for the requests in progress, also for those that are still being read.
@@ -211,8 +220,9 @@
 	e.stopping.Store(true)
 	e.options.Logger.Info().Msg("stop requested")
 	time.Sleep(drainDelay)
-	limit := e.options.Settings.Bounds.StopTimeout - stopMargin - (clock() - start)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	end := start + e.options.Settings.Bounds.StopTimeout - stopMargin
+	e.stopEnd.Store(int64(end))
+	ctx, cancel := context.WithTimeout(context.Background(), end-clock())
 	defer cancel()
 	if err := server.Stop(ctx); err != nil {
 		e.options.Logger.Error().Err(errors.Join(err, server.Close())).Dur("took", clock()-start).Msg("stop forced: requests were cut")
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -64,7 +64,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if status, reason := x.admit(); status != 0 {
-		x.refuse(status, reason, x.retryAfter(status))
+		x.refuse(status, reason, retryAfter(status, reason))
 		return
 	}
 	x.run()
@@ -76,11 +76,13 @@
 	quotaRetry    = time.Second
 )
 
-func (x *exchange) retryAfter(status int) time.Duration {
-	switch status {
-	case http.StatusServiceUnavailable:
+func retryAfter(status int, why reason) time.Duration {
+	switch {
+	case why == reasonStopping:
+		return 0 // another instance can serve the request at once
+	case status == http.StatusServiceUnavailable:
 		return notReadyRetry
-	case http.StatusTooManyRequests:
+	case status == http.StatusTooManyRequests:
 		return quotaRetry
 	}
 	return 0
@@ -107,6 +109,9 @@
 		return status, reason
 	}
 	x.setDeadline()
+	if x.edge.isCutBefore(x.latestUsualEnd()) {
+		return http.StatusServiceUnavailable, reasonStopping
+	}
 	x.edge.retries.addRequest(clock(), x.service.Name)
 	x.tokens, x.hasTokens = platform.ParseTokenCounts(x.request.Header)
 	if x.service.Model != nil {
@@ -181,5 +186,13 @@
 	x.dueAt = x.arrived + x.route.Objective
 }
 
+// latestUsualEnd returns the time by which the response is usually complete. A stream may take until the deadline.
+func (x *exchange) latestUsualEnd() time.Duration {
+	if x.isStream() {
+		return x.deadline
+	}
+	return min(x.arrived+responseTimeoutObjectives*x.route.Objective, x.deadline)
+}
+
 // timeLeft returns the time left until the deadline.
 func (x *exchange) timeLeft() time.Duration { return x.deadline - clock() }
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -25,6 +25,7 @@
 	reasonIncomplete      reason = "broken-off"
 	reasonTimeout         reason = "timeout"
 	reasonCallerLeft      reason = "caller-left"
+	reasonStopping        reason = "stopping" // this instance may stop before the end of the response
 )
 
 // counters holds the metrics of the requests.
