Log and count the rate limits that engines state

Entry instances log each change of a stated limit and count the responses that state one. Requests are not limited yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,7 @@
 	// load balancer had the time to remove this instance.
 	stopEnd           atomic.Int64
 	started           time.Duration
+	rateLimits        sync.Map // last rate limit that an engine stated, in requests a second, by engine ID
 	nextDirectoryRead atomic.Int64
 }
 
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -35,6 +35,7 @@
 	foreignResponses *metrics.Counter
 	leavingNotices   *metrics.Counter
 	rests            *metrics.Counter
+	rateLimits       *metrics.Counter
 	unsentGrants     *metrics.Counter
 	firstEvent       *metrics.Histogram
 	queue            *metrics.Histogram
@@ -48,6 +49,7 @@
 		foreignResponses: set.NewCounter("primrosebeam_foreign_answers_total"),
 		leavingNotices:   set.NewCounter("primrosebeam_engine_leaving_notices_total"),
 		rests:            set.NewCounter("primrosebeam_engine_rests_total"),
+		rateLimits:       set.NewCounter("primrosebeam_engine_rate_limits_total"),
 		unsentGrants:     set.NewCounter("primrosebeam_unsent_grants_total"),
 		firstEvent:       set.NewHistogram("primrosebeam_first_event_seconds"),
 		queue:            set.NewHistogram("primrosebeam_queue_seconds"),
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -85,6 +85,7 @@
 	if platform.IsLeaving(r.Header) && x.edge.recordLeaving(engine.ID, "") {
 		x.edge.placer.Leaving(engine.ID)
 	}
+	x.recordRateLimit(r, engine)
 	if r.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
@@ -99,6 +100,18 @@
 	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Dur("rest", rest).Msg("engine asked for a rest")
 }
 
+// recordRateLimit records the rate limit that the engine states.
+func (x *exchange) recordRateLimit(r *http.Response, engine placement.Engine) {
+	limit, stated := platform.ParseRateLimit(r.Header)
+	if !stated {
+		return
+	}
+	x.edge.counters.rateLimits.Inc()
+	if former, known := x.edge.rateLimits.Swap(engine.ID, limit); !known || former != limit {
+		x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Float64("perSecond", limit).Msg("engine states a rate limit")
+	}
+}
+
 // engineConnection is the connection on which a request is sent to an engine.
 type engineConnection struct{ current atomic.Pointer[net.Conn] }
 
