Keep to the rate limits that engines state

Cause: no part read the header. Nothing limited the rate to an engine; slots limit what runs at once only, and short requests fill them many times a second.

Change: entry instances record the limits and tell the allocator, which tells the others; of two statements the one with the newer evidence counts. The core grants the slots of limited model engines at the stated rate, and counts them with that rate in its estimates, so that what they can't take is rejected early. Engines of plain services, which instances choose by themselves, need a permit of the allocator, which goes to waiting requests first. An instance without an allocator uses an equal share. After a change of allocator, or back at a former one, no burst is allowed.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -56,7 +56,7 @@
 	events  *ring.Ring[event]
 
 	core              *placement.Core
-	notices           *placement.Notices // leaving engines that entry instances reported
+	notices           *placement.Notices // leaving engines and rate limits that entry instances reported
 	owners            map[string]*owner
 	silent            map[string]uint64 // incarnations of instances that fell silent, by name
 	leads             bool
@@ -206,10 +206,10 @@
 	a.options.Logger.Warn().Dur("paused", paused).Int("owners", len(a.owners)).Msg("allocator was paused; waiting for reports")
 }
 
-// nextTick returns the time until the next decision without an event. It is longer while no request waits,
-// to avoid unnecessary wake-ups.
+// nextTick returns the time until the next decision without an event. It is longer while no request waits and no
+// permits are wanted, to avoid unnecessary wake-ups.
 func (a *Allocator) nextTick() time.Duration {
-	if a.core.Waiting() > 0 {
+	if a.core.Waiting() > 0 || a.core.WantsPermits() {
 		return tickInterval
 	}
 	return ownerTimeout / 4
@@ -223,6 +223,7 @@
 		a.handleUpdate(now, e.from, e.update)
 	case e.engines != nil:
 		a.core.SetEngines(a.notices.Apply(now, e.engines))
+		a.core.SetRateLimits(now, a.notices.RateLimits())
 	case e.limits != nil:
 		a.core.SetQuotas(now, e.limits)
 	case e.learned != nil:
@@ -257,6 +258,7 @@
 // pauseGrants stops grants until the entry instances have reported their running requests.
 func (a *Allocator) pauseGrants(now time.Duration) {
 	a.grantsPausedUntil = now + reportTime
+	a.core.RestartRateLimits(now)
 	a.reports = reports{}
 }
 
@@ -314,8 +316,10 @@
 			a.core.AdoptBlockedParts(now, u.Blocked)
 		}
 		decisions.Blocked = &fleet.BlockList{Parts: a.core.BlockedParts(now)}
+		decisions.RateLimits = fleet.NewRateLimits(now, a.notices.RateLimits())
 		a.reconcile(now, o, u)
 	}
+	a.core.SetPermitDemand(o.name, o.dataCentre, u.PermitDemand)
 	a.applyNotices(now, o, u)
 	a.apply(now, o, u)
 }
@@ -338,6 +342,25 @@
 	for _, rest := range u.Rests {
 		a.core.Rest(now, now+time.Duration(rest.LeftMS)*time.Millisecond, from.name, rest.Engine)
 	}
+	for i := range u.RateLimits {
+		a.recordRateLimit(now, from, &u.RateLimits[i])
+	}
+}
+
+// recordRateLimit records what an engine has stated to an entry instance and reports a change to the others.
+func (a *Allocator) recordRateLimit(now time.Duration, from *owner, reported *fleet.RateLimit) {
+	limit := reported.Received(now)
+	if !a.notices.RecordRateLimit(limit) {
+		return
+	}
+	a.core.SetRateLimits(now, a.notices.RateLimits())
+	a.options.Logger.Info().Str("engine", limit.Engine).Str("peer", from.name).Float64("perSecond", limit.PerSecond).
+		Bool("lifted", limit.Lifted).Dur("age", now-limit.At).Msg("rate limit of an engine changed")
+	for _, o := range a.owners {
+		if o != from {
+			o.pendingDecisions().RateLimits = append(o.pendingDecisions().RateLimits, *reported)
+		}
+	}
 }
 
 // reconcile makes the requests that the core holds for an owner match a full update.
@@ -455,6 +478,11 @@
 			})
 		}
 	}
+	for _, permit := range a.core.GrantPermits(now) {
+		if o := a.owners[permit.Owner]; o != nil {
+			o.pendingDecisions().Permits = fleet.AddPermit(o.pendingDecisions().Permits, permit.Engine)
+		}
+	}
 	for _, h := range a.core.HealthChanges() {
 		a.options.Logger.Info().EmbedObject(&h).Msg(placement.HealthMessage)
 	}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -43,6 +43,8 @@
 		if d.Blocked != nil {
 			joined.Blocked = d.Blocked
 		}
+		joined.RateLimits = append(joined.RateLimits, d.RateLimits...)
+		joined.Permits = append(joined.Permits, d.Permits...)
 	}
 	delete(c.sent, to)
 	return joined
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,7 +63,6 @@
 	// load balancer had the time to remove this instance.
 	stopEnd           atomic.Int64
 	started           time.Duration
-	rateLimits        sync.Map // last rate limit that an engine stated, in requests a second, by engine ID
 	nextDirectoryRead atomic.Int64
 }
 
@@ -85,7 +84,7 @@
 		Logger: o.Logger, Metrics: o.Metrics,
 	})
 	e.control = newControlClient(o, node, e.directory, e.tableInstalled)
-	e.placer = newPlacer(o, node, e.control, e.notices, e.recordLeaving)
+	e.placer = newPlacer(o, node, e.control, e.notices, e.balancer, e.recordLeaving)
 	e.retries = newRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow, e.entryCount)
 	node.Handle(fleet.KindChanged, e.control.HandleChanged)
 	node.Handle(fleet.KindDecisions, e.placer.HandleDecisions)
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -41,6 +41,7 @@
 func (p *placer) startLocal(now time.Duration) {
 	p.setLocalEngines()
 	p.local.SetQuotaShare(now, 1/float64(p.entryCount()))
+	p.local.RestartRateLimits(now)
 	for _, t := range p.tickets {
 		if t.engine == "" {
 			p.arriveLocally(now, t)
@@ -73,6 +74,10 @@
 	if p.allocator() != "" {
 		return
 	}
+	p.local.SetPermitDemand("", p.dataCentre, p.balancer.PermitDemand(now))
+	for _, permit := range p.local.GrantPermits(now) {
+		p.balancer.AddPermits(now, permit.Engine, 1)
+	}
 	grants, rejections := p.local.Decide(now)
 	for _, g := range grants {
 		p.grant(now, ticketID(g.Request), slotDecision{engine: g.Engine, running: g.Running})
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -63,6 +63,7 @@
 	ticket    *ticket
 	engine    string        // of eventLeaving and eventRest
 	until     time.Duration // end of the rest
+	limit     placement.RateLimit
 	outcome   placement.Outcome
 	tokens    int
 	charge    fleet.Charge
@@ -85,6 +86,8 @@
 	eventQuotas
 	eventLeaving
 	eventRest
+	eventRateLimit
+	eventPermitNeeded
 )
 
 // placer is the worker that acquires slots for this instance's requests. It asks the leader's allocator,
@@ -96,6 +99,7 @@
 	allocators       func() []string
 	entryCount       func() int
 	notices          *placement.Notices
+	balancer         *placement.Balancer
 	blocked          *placement.BlockList
 	onLeaving        func(engine, source string) bool // must not block
 	logger           zerolog.Logger
@@ -126,11 +130,12 @@
 }
 
 func newPlacer(
-	o Options, l link.Caller, control *controlClient, notices *placement.Notices, onLeaving func(engine, source string) bool,
+	o Options, l link.Caller, control *controlClient, notices *placement.Notices, balancer *placement.Balancer,
+	onLeaving func(engine, source string) bool,
 ) *placer {
 	p := &placer{
 		link: l, name: control.name, dataCentre: control.dataCentre, allocators: control.allocators,
-		notices: notices, blocked: &placement.BlockList{}, onLeaving: onLeaving,
+		notices: notices, balancer: balancer, blocked: &placement.BlockList{}, onLeaving: onLeaving,
 		entryCount: func() int { return int(control.entryCount.Load()) },
 		logger:     o.Logger,
 		events:     ring.New[placerEvent](eventCapacity),
@@ -177,6 +182,14 @@
 	p.post(placerEvent{kind: eventRest, engine: engine, until: until})
 }
 
+// RateLimit reports what an engine has stated about its rate limit.
+func (p *placer) RateLimit(limit placement.RateLimit) {
+	p.post(placerEvent{kind: eventRateLimit, limit: limit})
+}
+
+// PermitNeeded reports at once that a request waits for a permit.
+func (p *placer) PermitNeeded() { p.post(placerEvent{kind: eventPermitNeeded}) }
+
 // IsExhausted reports whether the quota of a workspace is used up.
 func (p *placer) IsExhausted(workspace string) bool {
 	return slices.Contains(*p.exhausted.Load(), workspace)
@@ -214,7 +227,7 @@
 }
 
 func (p *placer) nextTick() time.Duration {
-	if p.allocator() == "" && p.local.Waiting() > 0 {
+	if p.allocator() == "" && (p.local.Waiting() > 0 || p.local.WantsPermits()) {
 		return heartbeat / 10
 	}
 	return heartbeat / 2
@@ -250,9 +263,20 @@
 	case eventRest:
 		p.pendingUpdate().Rests = append(p.pendingUpdate().Rests, newFleetRest(now, e.engine, e.until))
 		p.local.Rest(now, e.until, "", e.engine)
+	case eventRateLimit:
+		p.pendingUpdate().RateLimits = append(p.pendingUpdate().RateLimits, fleet.NewRateLimit(now, &e.limit))
+		p.applyRateLimits(now)
+	case eventPermitNeeded:
+		p.pendingUpdate() // carries the demand
 	}
 }
 
+// applyRateLimits makes the local placement and the balancer follow the rate limits that are known.
+func (p *placer) applyRateLimits(now time.Duration) {
+	p.local.SetRateLimits(now, p.notices.RateLimits())
+	p.balancer.RateLimitsChanged()
+}
+
 func (p *placer) pendingUpdate() *fleet.Update {
 	if p.pending == nil {
 		p.pending = &fleet.Update{}
@@ -318,6 +342,16 @@
 	if decisions.Blocked != nil {
 		p.blocked.Set(now, decisions.Blocked.Parts)
 	}
+	changed := false
+	for i := range decisions.RateLimits {
+		changed = p.notices.RecordRateLimit(decisions.RateLimits[i].Received(now)) || changed
+	}
+	if changed {
+		p.applyRateLimits(now)
+	}
+	for _, permits := range decisions.Permits {
+		p.balancer.AddPermits(now, permits.Engine, permits.Count)
+	}
 	for i := range decisions.Grants {
 		p.grant(now, decisions.Grants[i].ID, slotDecision{
 			engine: decisions.Grants[i].Engine, running: decisions.Grants[i].Running, allocator: from,
@@ -413,6 +447,7 @@
 	if p.needsFullUpdate {
 		u = p.fullUpdate(now)
 	}
+	u.PermitDemand = p.balancer.PermitDemand(now)
 	p.lastSent++
 	u.Sequence = p.lastSent
 	p.pending, p.needsFullUpdate = nil, false
@@ -428,6 +463,7 @@
 	for engine, until := range p.notices.Rests(now) {
 		u.Rests = append(u.Rests, newFleetRest(now, engine, until))
 	}
+	u.RateLimits = fleet.NewRateLimits(now, p.notices.RateLimits())
 	for _, t := range p.tickets {
 		if t.engine == "" {
 			u.Arrivals = append(u.Arrivals, newFleetRequest(now, t))
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -38,7 +38,7 @@
 	out := &updateRecorder{sent: map[string][]*fleet.Update{}}
 	control := newTestControlClient(t, &controlStub{}, "10.0.0.1:1")
 	notices := placement.NewNotices()
-	p := newPlacer(Options{Logger: zerolog.Nop(), Metrics: metrics.NewSet()}, out, control, notices,
+	p := newPlacer(Options{Logger: zerolog.Nop(), Metrics: metrics.NewSet()}, out, control, notices, placement.NewBalancer("a", notices),
 		func(engine, _ string) bool { return notices.RecordLeaving(0, engine) })
 	p.allocators = func() []string { return allocators }
 	return p, out
@@ -102,3 +102,73 @@
 	p.step(time.Millisecond)
 	is.True(!p.notices.MayUse(time.Millisecond, "e"))
 }
+
+// TestRateLimitHoldsWithoutAllocator guards against instances that each use the whole rate limit of an engine while
+// they reach no allocator, and against a limit that only the former allocator knew.
+func TestRateLimitHoldsWithoutAllocator(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPlacer(t, "allocator")
+	p.entryCount = func() int { return 4 }
+	engines := []placement.Engine{
+		{ID: "model", Service: "s", Address: "10.0.0.1:1", Slots: 64}, {ID: "plain", Service: "p", Address: "10.0.0.2:1", Slots: 64},
+	}
+	p.balancer.SetEngines(engines)
+	p.post(placerEvent{kind: eventEngines, engines: engines})
+	p.step(0)
+	p.post(placerEvent{kind: eventDecisions, from: "allocator", decisions: &fleet.Decisions{Sequence: 1, RateLimits: []fleet.RateLimit{
+		{Engine: "model", PerSecond: 8}, {Engine: "plain", PerSecond: 8},
+	}}})
+	p.step(time.Millisecond)
+	_, usable := p.balancer.Pick(time.Millisecond, "p", nil)
+	is.True(!usable)
+	p.allocators = func() []string { return nil }
+	streams, requests := 0, 0
+	var tickets []*ticket
+	const start, end = 10 * time.Second, 20 * time.Second
+	for now := start; now < end; now += 25 * time.Millisecond {
+		p.balancer.CountRequest(now, "p")
+		if _, ok := p.balancer.Pick(now, "p", nil); ok {
+			requests++
+		}
+		ticket, err := p.Submit(placement.Request{
+			Service: "s", PromptTokens: 1, FirstEventDue: now + time.Second, FirstEventDeadline: now + time.Second, Deadline: now + time.Minute,
+		})
+		is.NoErr(err)
+		tickets = append(tickets, ticket)
+		p.step(now)
+		for _, ticket := range tickets {
+			select {
+			case d := <-ticket.decision:
+				if d.reason == "" {
+					streams++
+					p.End(ticket, placement.OutcomeCompleted, 1)
+				}
+			default:
+			}
+		}
+	}
+	is.Equal(p.allocator(), "")
+	is.True(streams <= 21 && requests <= 21) // a quarter of 8 requests a second
+	is.True(streams >= 10 && requests >= 10)
+}
+
+// TestFullUpdateCarriesRateLimits guards against a new allocator that does not know the rate limits of engines and
+// the demand for permits.
+func TestFullUpdateCarriesRateLimits(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t, "first", "second")
+	p.balancer.SetEngines([]placement.Engine{{ID: "e", Service: "s", Address: "10.0.0.1:1", Slots: 4}})
+	p.step(0)
+	limit, report := p.notices.ObserveRateLimit(time.Millisecond, 0, "e", 2, true)
+	is.True(report)
+	p.RateLimit(limit)
+	p.balancer.CountRequest(time.Millisecond, "s")
+	p.step(time.Millisecond)
+	is.Equal(out.last("first").RateLimits, []fleet.RateLimit{{Engine: "e", PerSecond: 2}})
+	is.Equal(out.last("first").PermitDemand, []placement.PermitDemand{{Service: "s", Expected: 1}})
+	p.step(replyTimeout + 2*time.Millisecond) // the first allocator does not reply
+	u := out.last("second")
+	is.True(u != nil && u.Full)
+	is.Equal(u.RateLimits, []fleet.RateLimit{{Engine: "e", PerSecond: 2, AgeMS: 351}})
+	is.Equal(u.PermitDemand, []placement.PermitDemand{{Service: "s", Expected: 1}})
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -177,7 +177,7 @@
 // caller.
 func (x *exchange) acquireSlot(ctx context.Context) (slot, bool) {
 	if x.service.Model == nil {
-		return x.pickEngine()
+		return x.pickEngine(ctx)
 	}
 	if left := x.blockedFor(clock()); left > 0 {
 		x.finishUnplaced(reason(placement.ReasonBlockedPart), left)
@@ -215,8 +215,9 @@
 	}
 }
 
-// pickEngine chooses an engine of a plain service without asking an allocator.
-func (x *exchange) pickEngine() (slot, bool) {
+// pickEngine chooses an engine of a plain service without asking an allocator, and waits for a permit if all engines
+// that it could use state rate limits.
+func (x *exchange) pickEngine(ctx context.Context) (slot, bool) {
 	charge := 0.0
 	if x.workspace != nil && x.sends == 0 {
 		if x.edge.placer.IsExhausted(x.workspace.Name) {
@@ -225,9 +226,15 @@
 		}
 		charge = x.workspace.Charge(x.tokenCount())
 	}
-	engine, ok := x.edge.balancer.Pick(clock(), x.service.Name, x.excluded)
-	if !ok {
-		x.finishUnplaced(reason(placement.ReasonNoEngine), notReadyRetry)
+	engine, why := x.awaitEngine(ctx)
+	switch {
+	case x.request.Context().Err() != nil:
+		if why == "" {
+			x.edge.balancer.Done(clock(), engine.ID, placement.OutcomeUnused)
+		}
+		x.finishCallerLeft()
+	case why != "":
+		x.finishUnplaced(reason(why), notReadyRetry)
 		return slot{}, false
 	}
 	if charge > 0 {
@@ -241,6 +248,42 @@
 	}, true
 }
 
+// permitWaitShare is the fraction of the route's objective for which a request waits for a permit. After it, coming
+// back later is better for the caller than a response that is late for certain.
+const permitWaitShare = 0.5
+
+// awaitEngine picks an engine of a plain service. Without one it returns the reason.
+func (x *exchange) awaitEngine(ctx context.Context) (placement.Engine, placement.Reason) {
+	b, service := x.edge.balancer, x.service.Name
+	b.CountRequest(clock(), service)
+	engine, ok := b.Pick(clock(), service, x.excluded)
+	if ok {
+		return engine, ""
+	}
+	if !b.NeedsPermit(clock(), service, x.excluded) {
+		return engine, placement.ReasonNoEngine
+	}
+	start := clock()
+	defer func() { x.queueTime += clock() - start }()
+	defer b.AwaitPermit(service)()
+	timeout := time.NewTimer(time.Duration(permitWaitShare * float64(x.route.Objective)))
+	defer timeout.Stop()
+	x.edge.placer.PermitNeeded()
+	for {
+		changed := b.PermitsChanged()
+		if engine, ok = b.Pick(clock(), service, x.excluded); ok {
+			return engine, ""
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return engine, placement.ReasonRate
+		case <-ctx.Done():
+			return engine, placement.ReasonRate
+		}
+	}
+}
+
 func (x *exchange) tokenCount() int { return x.tokens.Prompt + x.tokens.MaxOutput }
 
 func (x *exchange) placementRequest() placement.Request {
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -43,7 +43,7 @@
 func (x *exchange) send(ctx context.Context, s slot) sendResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.engine, x.connectionLost = s.engine.ID, false
+	x.engine, x.connectionLost, x.sentAt = s.engine.ID, false, clock()
 	request, connection, err := x.engineRequest(ctx, s.engine)
 	if err != nil {
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("building the request for the engine failed")
@@ -100,16 +100,22 @@
 	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Dur("rest", rest).Msg("engine asked for a rest")
 }
 
-// recordRateLimit records the rate limit that the engine states.
+// recordRateLimit records the rate limit that the engine states, or that it states none any more. Only a signed
+// response to this request shows the latter.
 func (x *exchange) recordRateLimit(r *http.Response, engine placement.Engine) {
-	limit, stated := platform.ParseRateLimit(r.Header)
-	if !stated {
+	perSecond, stated := platform.ParseRateLimit(r.Header)
+	if stated {
+		x.edge.counters.rateLimits.Inc()
+	} else if r.Header.Get(platform.HeaderSignature) == "" || r.Header.Get(platform.HeaderAttempt) != x.id {
 		return
 	}
-	x.edge.counters.rateLimits.Inc()
-	if former, known := x.edge.rateLimits.Swap(engine.ID, limit); !known || former != limit {
-		x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Float64("perSecond", limit).Msg("engine states a rate limit")
+	limit, report := x.edge.notices.ObserveRateLimit(clock(), x.sentAt, engine.ID, perSecond, stated)
+	if !report {
+		return
 	}
+	x.edge.placer.RateLimit(limit)
+	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Float64("perSecond", perSecond).
+		Bool("stated", stated).Msg("engine states a rate limit")
 }
 
 // engineConnection is the connection on which a request is sent to an engine.
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/placement"
 )
@@ -119,6 +121,39 @@
 	Rests       []Rest    `cbor:"12,keyasint,omitempty"`
 	// Blocked holds the blocked parts of prompts that the sender knows of. Set in full updates.
 	Blocked []placement.BlockedPart `cbor:"13,keyasint,omitempty"`
+	// RateLimits holds the changes of what engines state, or all that is known in full updates.
+	RateLimits []RateLimit `cbor:"14,keyasint,omitempty"`
+	// PermitDemand holds the permits that the instance can use, which replace those of the last update.
+	PermitDemand []placement.PermitDemand `cbor:"15,keyasint,omitempty"`
+}
+
+// RateLimit is what is known about the rate limit of an engine.
+type RateLimit struct {
+	Engine    string  `cbor:"1,keyasint"`
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
+	Lifted    bool    `cbor:"3,keyasint,omitempty"`
+	AgeMS     int64   `cbor:"4,keyasint,omitempty"` // age of the evidence at the creation of the message
+}
+
+// NewRateLimit returns the message form of a rate limit.
+func NewRateLimit(now time.Duration, l *placement.RateLimit) RateLimit {
+	return RateLimit{Engine: l.Engine, PerSecond: l.PerSecond, Lifted: l.Lifted, AgeMS: (now - l.At).Milliseconds()}
+}
+
+// NewRateLimits returns the message form of a list of rate limits.
+func NewRateLimits(now time.Duration, list []placement.RateLimit) []RateLimit {
+	var out []RateLimit
+	for i := range list {
+		out = append(out, NewRateLimit(now, &list[i]))
+	}
+	return out
+}
+
+// Received returns the rate limit of a message that arrived at the given time.
+func (l *RateLimit) Received(now time.Duration) placement.RateLimit {
+	return placement.RateLimit{
+		Engine: l.Engine, PerSecond: l.PerSecond, Lifted: l.Lifted, At: now - time.Duration(l.AgeMS)*time.Millisecond,
+	}
 }
 
 // Rest reports that an engine wants no requests from the sender for some time.
@@ -186,6 +221,25 @@
 	ExhaustedWorkspaces []string    `cbor:"6,keyasint,omitempty"` // workspaces without remaining quota
 	Leaving             []string    `cbor:"7,keyasint,omitempty"` // IDs of engines that stated that they are leaving
 	Blocked             *BlockList  `cbor:"8,keyasint,omitempty"` // set if it has changed, or after a full update
+	RateLimits          []RateLimit `cbor:"9,keyasint,omitempty"` // changes, or all after a full update
+	Permits             []Permits   `cbor:"10,keyasint,omitempty"`
+}
+
+// Permits allow the receiver to send requests to an engine of a plain service that states a rate limit.
+type Permits struct {
+	Engine string `cbor:"1,keyasint"`
+	Count  int    `cbor:"2,keyasint"`
+}
+
+// AddPermit adds a permit for an engine to a list.
+func AddPermit(list []Permits, engine string) []Permits {
+	for i := range list {
+		if list[i].Engine == engine {
+			list[i].Count++
+			return list
+		}
+	}
+	return append(list, Permits{Engine: engine, Count: 1})
 }
 
 // BlockList holds all parts of prompts that are blocked.
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -16,6 +16,7 @@
 	engines    map[string][]*backend // keyed by service
 	byID       map[string]*backend   // keyed by engine ID
 	notices    *Notices
+	permits    permitState
 	paceTTL    time.Duration // paceTTL, or another value in tests
 	paceWeight float64       // paceWeight, or another value in tests
 }
@@ -30,6 +31,8 @@
 	suspendedUntil time.Duration
 	failureRate    float64 // decaying fraction of failed requests
 	probation      bool    // after a rest: one request at a time until the engine responds
+	// permits holds until when each permit for a request to an engine with a rate limit may be used.
+	permits []time.Duration
 }
 
 const (
@@ -56,7 +59,7 @@
 func NewBalancer(dataCentre string, notices *Notices) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, engines: map[string][]*backend{}, byID: map[string]*backend{}, notices: notices,
-		paceTTL: paceTTL, paceWeight: paceWeight,
+		permits: newPermitState(), paceTTL: paceTTL, paceWeight: paceWeight,
 	}
 }
 
@@ -81,8 +84,8 @@
 }
 
 // Pick selects the least loaded engine of a service and counts a request on it. It returns false if all
-// engines are excluded, leaving or resting, or if there are none. The caller must call Done for each engine that
-// Pick returned.
+// engines are excluded, leaving, resting or without a permit, or if there are none. The caller must call Done for
+// each engine that Pick returned.
 func (b *Balancer) Pick(now time.Duration, service string, excluded []string) (Engine, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -95,6 +98,9 @@
 		return Engine{}, false
 	}
 	best.inFlight++
+	if _, limited := b.notices.RateLimit(best.ID); limited {
+		best.permits = best.permits[1:]
+	}
 	return best.Engine, true
 }
 
@@ -106,14 +112,15 @@
 	engines := b.engines[service]
 	for i := range engines {
 		e := engines[(b.rotation+i)%len(engines)] // rotate among equally loaded engines
-		if e.Leaving || slices.Contains(excluded, e.ID) || !includeSuspended && now < e.suspendedUntil {
+		if !includeSuspended && now < e.suspendedUntil || !b.mayUse(now, e, excluded) {
 			continue
 		}
-		if !b.notices.MayUse(now, e.ID) || e.probation && e.inFlight > 0 {
+		_, limited := b.notices.RateLimit(e.ID)
+		if limited && e.usablePermits(now) == 0 {
 			continue
 		}
 		load := (float64(e.inFlight)+e.decayedLoad(now))/float64(e.Slots) + b.paceWeight*e.decayedSlowdown(now, b.paceTTL)
-		if e.DataCentre != b.dataCentre {
+		if e.DataCentre != b.dataCentre && !limited { // a permit is lost if it is not used
 			load += remotePenalty
 		}
 		if best == nil || load < lowest {
@@ -123,6 +130,11 @@
 	return best
 }
 
+// mayUse reports whether an engine may get a request as far as its notices and its probation are concerned.
+func (b *Balancer) mayUse(now time.Duration, e *backend, excluded []string) bool {
+	return !e.Leaving && !slices.Contains(excluded, e.ID) && b.notices.MayUse(now, e.ID) && !(e.probation && e.inFlight > 0)
+}
+
 // decayedLoad returns the reported load of other instances, decayed by its age.
 func (e *backend) decayedLoad(now time.Duration) float64 {
 	age := now - e.reportedAt
--- a/placement/core.go
+++ b/placement/core.go
@@ -17,9 +17,13 @@
 	services   map[string]*service
 	requests   map[RequestID]*trackedRequest
 	quotas     map[string]*tokenBucket
-	quotaShare float64 // fraction of each quota that this core may spend
+	quotaShare float64 // fraction of each quota and rate limit that this core may spend
 	latency    latencyModel
 	detached   map[RequestID]*trackedRequest // runs whose owner is silent
+	pacers     map[string]*pacer             // of the engines that state a rate limit, by engine ID
+	// permitOwners holds the instances that can use permits, by name.
+	permitOwners map[string]*permitOwner
+	permitCount  uint64 // permits granted so far
 	// learnedSlowness holds what was taken over about engines that are not listed yet.
 	learnedSlowness map[string]LearnedEngine
 	// scope is the data centre to which grants are limited; empty means that all engines are used.
@@ -79,6 +83,8 @@
 		detached:   map[RequestID]*trackedRequest{},
 		quotaShare: 1,
 		latency:    newLatencyModel(),
+
+		permitOwners: map[string]*permitOwner{},
 	}
 }
 
@@ -323,11 +329,12 @@
 		if r.started && tokens > 0 {
 			c.latency.learn(e, now-r.firstEventAt, tokens)
 		}
-	case OutcomeUnused, OutcomeRefused:
+	case OutcomeUnused:
 		c.refund(r.Workspace, r.Charge)
-		if outcome == OutcomeRefused {
-			e.recordRefusal(now)
-		}
+		c.addToRate(e.ID, 1)
+	case OutcomeRefused:
+		c.refund(r.Workspace, r.Charge)
+		e.recordRefusal(now)
 	case OutcomeFailed, OutcomeConnectionLost:
 		s := c.service(e.Service)
 		e.recordFailure(now, s.maySuspend(now), s.mayThrottle(now))
@@ -347,6 +354,7 @@
 
 // RemoveOwner removes all requests of an owner that left, was restarted or was lost.
 func (c *Core) RemoveOwner(owner string) {
+	delete(c.permitOwners, owner)
 	for _, id := range c.RequestsOf(owner) {
 		r := c.requests[id]
 		if r.engine != nil {
@@ -366,6 +374,7 @@
 // DetachOwner removes the waiting requests of an owner that is silent. Its runs may continue, so their slots stay
 // occupied until they are expected to have ended, or until the owner reports again.
 func (c *Core) DetachOwner(owner string) {
+	delete(c.permitOwners, owner)
 	for _, id := range c.RequestsOf(owner) {
 		r := c.requests[id]
 		if r.engine == nil {
@@ -441,6 +450,7 @@
 	r.firstEventLimit = c.firstEventLimit(r)
 	s.routeStats(r.Route).rates.serve(r.sizeClass)
 	e.add(r)
+	c.addToRate(e.ID, -1)
 	s.suspects.recordGrant(r)
 	c.grants = append(c.grants, Grant{Request: r.ID, Owner: r.Owner, Engine: e.Engine, Running: len(e.runs)})
 	return true
@@ -452,11 +462,11 @@
 	return firstEventTimeout + 3*c.latency.minTimeToFirstEvent(r)
 }
 
-// freeEngines returns the engines of a service that have a free slot.
+// freeEngines returns the engines of a service that have a free slot and may get a request.
 func (c *Core) freeEngines(now time.Duration, s *service) []*engine {
 	var free []*engine
 	for _, e := range s.engines {
-		if (c.scope == "" || e.DataCentre == c.scope) && e.hasFreeSlot(now) {
+		if (c.scope == "" || e.DataCentre == c.scope) && e.hasFreeSlot(now) && c.isWithinRate(now, e.ID) {
 			free = append(free, e)
 		}
 	}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -69,6 +69,7 @@
 	ReasonOverload Reason = "overload"  // too much work of more valuable requests is queued ahead of it
 	ReasonNoEngine Reason = "no-engine" // no engine of the service may run it
 	ReasonQuota    Reason = "quota"     // its workspace has used up its quota
+	ReasonRate     Reason = "rate"      // the engines of the service that could run it state rate limits
 	// ReasonBlockedPart means that a part of the prompt has crashed several engines.
 	ReasonBlockedPart Reason = "blocked-part"
 )
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -16,8 +16,8 @@
 	noticeRetention = 10 * time.Second
 )
 
-// Notices holds what engines have stated about themselves in their responses: that they are leaving, or that
-// they want no requests from this instance for some time. It is safe for concurrent use.
+// Notices holds what engines have stated about themselves in their responses: that they are leaving, that
+// they want no requests from this instance for some time, or how many requests a second they take. It is safe for concurrent use.
 //
 // Invariant: a leaving notice is final for an engine ID while the engine is listed, since the ID changes when
 // the engine restarts.
@@ -25,11 +25,12 @@
 	mu      sync.Mutex
 	leaving map[string]time.Duration // time of the notice by engine ID
 	rests   map[string]time.Duration // end of the rest by engine ID
+	limits  *rateLimits
 }
 
 // NewNotices returns Notices without an entry.
 func NewNotices() *Notices {
-	return &Notices{leaving: map[string]time.Duration{}, rests: map[string]time.Duration{}}
+	return &Notices{leaving: map[string]time.Duration{}, rests: map[string]time.Duration{}, limits: newRateLimits()}
 }
 
 // RecordLeaving records that an engine is leaving. It reports whether that was not known before.
@@ -97,5 +98,6 @@
 	maps.DeleteFunc(n.leaving, func(engine string, at time.Duration) bool {
 		return !listed[engine] && now-at > noticeRetention
 	})
+	n.limits.prune(now, listed)
 	return out
 }
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -15,6 +15,8 @@
 	// suspendedSpeed is the fraction of its speed with which a suspended engine counts towards the
 	// capacity.
 	suspendedSpeed = 0.5
+	// minSlowness bounds the speed of an engine in estimates of the capacity.
+	minSlowness = 0.1
 	// noCapacityWait is the expected wait when no engine is usable: the time for which an engine is
 	// suspended after failures.
 	noCapacityWait = failurePause
@@ -110,22 +112,27 @@
 
 // capacity returns the combined speed of the engines of a service, in engines of average speed.
 func (c *Core) capacity(now time.Duration, s *service) float64 {
-	return c.sumSpeed(now, s, func(*engine) float64 { return 1 })
+	return c.sumOf(now, s, func(e *engine) float64 { return 1 / max(e.slowness, minSlowness) })
 }
 
-// slotCapacity returns the combined speed of the slots of a service, in slots of an engine of average speed.
+// slotCapacity returns the combined speed of the slots of a service that rate limits let requests fill, in slots of an
+// engine of average speed.
 func (c *Core) slotCapacity(now time.Duration, s *service) float64 {
-	return c.sumSpeed(now, s, func(e *engine) float64 { return float64(e.Slots) })
+	perRequest := time.Duration(0)
+	if len(c.pacers) > 0 {
+		perRequest = s.recentArrivals.meanWork()
+	}
+	return c.sumOf(now, s, func(e *engine) float64 { return c.usableSlots(e, perRequest) })
 }
 
-// sumSpeed adds up the speeds of the engines of a service, each multiplied by its weight.
-func (c *Core) sumSpeed(now time.Duration, s *service, weight func(*engine) float64) float64 {
+// sumOf adds up the capacities of the engines of a service.
+func (c *Core) sumOf(now time.Duration, s *service, capacityOf func(*engine) float64) float64 {
 	total := 0.0
 	for _, e := range s.engines {
 		if c.scope != "" && e.DataCentre != c.scope || e.Leaving {
 			continue
 		}
-		speed := weight(e) / max(e.slowness, 0.1)
+		speed := capacityOf(e)
 		if now < e.suspendedUntil {
 			speed *= suspendedSpeed // The engine resumes before most of the waiting work is done.
 		}
@@ -162,6 +169,18 @@
 	}
 }
 
+// meanWork returns the mean slot time of the recent arrivals, 0 if there are none.
+func (a *arrivals) meanWork() time.Duration {
+	if len(a.list) == 0 {
+		return 0
+	}
+	var work time.Duration
+	for i := range a.list {
+		work += a.list[i].work
+	}
+	return work / time.Duration(len(a.list))
+}
+
 // load returns the number of slots kept busy by arriving requests of at least the given density.
 func (a *arrivals) load(now time.Duration, density float64) float64 {
 	var work time.Duration
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// SetQuotaShare sets the fraction of each quota that this core may spend. The shares of cores that cannot
+// SetQuotaShare sets the fraction of each quota, and of the rate limit of each engine, that this core may spend. The shares of cores that cannot
 // communicate with each other must add up to at most 1.
 func (c *Core) SetQuotaShare(now time.Duration, share float64) {
 	if share == c.quotaShare {
@@ -102,6 +102,10 @@
 		q.level += max(share-c.quotaShare, 0) * q.capacity()
 		q.level = min(q.level, q.capacity()*share)
 	}
+	for _, p := range c.pacers {
+		p.refill(now, c.quotaShare)
+		p.level = min(p.level, p.burst(share))
+	}
 	c.quotaShare = share
 }
 
