Log the fingerprint of requests that fail at an engine

Lines of requests with a failed send now hold a hash of caller, path and body, the same for repetitions.

--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -89,7 +90,7 @@
 			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
 	if x.cause != "" && why != reasonAnswered {
-		event.Str("cause", x.cause)
+		event.Str("cause", x.cause).Str("fingerprint", strconv.FormatUint(uint64(x.fingerprints()[0]), 16))
 	}
 	if x.hasTokens {
 		event.Int("prompt", x.tokens.Prompt).Int("output", x.tokens.MaxOutput).Int("expected", x.expectedOutput()).
