Refuse repetitions of a request that crashes engines

What callers saw: a request came again and again, with the same path, caller and body, and crashed each engine that ran it.

Cause: only parts of prompts were related to crashes, by the allocator, which does not see requests to plain services at all. Where the repeated request was one to a model service, a part of its prompt that sound requests share could be blocked in its place.

Change: the fingerprint of a request (caller, path, body; and these with the query) counts like a part of its prompt. Entry instances report lost requests to plain services, engines that refuse connections, and responses to requests that the next crash would block. After three crashes in a row repetitions are refused at all instances. Parts that were blocked by the same crashes must all be in a request for it to be refused, so sound requests that only share the prompt's part pass. Crashes that are recognised in another order count, too. Without an allocator an instance blocks by what it sees itself.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -315,7 +315,7 @@
 			o.reported = true
 			a.core.AdoptBlockedParts(now, u.Blocked)
 		}
-		decisions.Blocked = &fleet.BlockList{Parts: a.core.BlockedParts(now)}
+		decisions.Blocked = a.blockList(now)
 		decisions.RateLimits = fleet.NewRateLimits(now, a.notices.RateLimits())
 		a.reconcile(now, o, u)
 	}
@@ -410,6 +410,19 @@
 	for _, charge := range u.Charges {
 		a.core.Charge(now, charge.Workspace, charge.Amount)
 	}
+	for i := range u.Responses {
+		a.core.RecordResponse(now, u.Responses[i].Service, u.Responses[i].Parts)
+	}
+	for i := range u.Losses {
+		loss := &u.Losses[i]
+		a.core.RecordLostRequest(now, &placement.LostRequest{
+			Engine: loss.Engine, Parts: loss.Parts, SentAt: now - time.Duration(loss.SentAgeMS)*time.Millisecond,
+			LostAt: now - time.Duration(loss.LostAgeMS)*time.Millisecond,
+		})
+	}
+	for _, engine := range u.Unreachable {
+		a.core.RecordUnreachable(now, engine)
+	}
 }
 
 func (o *owner) request(now time.Duration, in *fleet.Request) placement.Request {
@@ -496,17 +509,21 @@
 	a.waiting.Update(float64(a.core.Waiting()))
 }
 
-// publishPartChanges logs which parts of prompts were blocked and released, and reports all that are blocked to the
-// entry instances.
+func (a *Allocator) blockList(now time.Duration) *fleet.BlockList {
+	return &fleet.BlockList{Parts: a.core.BlockedParts(now), Watched: a.core.WatchedParts(now)}
+}
+
+// publishPartChanges logs which parts of requests were blocked and released, and reports all that are blocked or
+// watched to the entry instances.
 func (a *Allocator) publishPartChanges(now time.Duration) {
 	changes := a.core.PartChanges()
-	if len(changes) == 0 {
+	if watchChanged := a.core.WatchChanged(); len(changes) == 0 && !watchChanged {
 		return
 	}
-	list := &fleet.BlockList{Parts: a.core.BlockedParts(now)}
+	list := a.blockList(now)
 	for _, change := range changes {
 		a.options.Logger.Warn().Str("service", change.Service).Str("part", strconv.FormatUint(uint64(change.Part), 16)).
-			Bool("blocked", change.Blocked).Int("crashes", change.Crashes).Msg("block of a prompt part changed")
+			Bool("blocked", change.Blocked).Int("crashes", change.Crashes).Msg("block of a request part changed")
 	}
 	for _, o := range a.owners {
 		o.pendingDecisions().Blocked = list
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -343,3 +343,44 @@
 	a.deliver(now, sender("second", 1), fleet.Update{Sequence: 2, Full: true, Blocked: blocked})
 	is.Equal(len(out.take("second").Blocked.Parts), 0)
 }
+
+// TestBlockOfRequestReachesAllInstances guards against a request that crashes engines of a plain service and is
+// blocked only where it was seen, or not any more after a change of allocator, and against one that stays suspected
+// although another instance got a response.
+func TestBlockOfRequestReachesAllInstances(t *testing.T) {
+	is := is.New(t)
+	const deadly, sound = placement.PartID(1), placement.PartID(2)
+	a, out := newTestAllocator(4)
+	engines := []placement.Engine{}
+	for _, id := range []string{"e0", "e1", "e2"} {
+		engines = append(engines, placement.Engine{ID: id, Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 4})
+	}
+	a.core.SetEngines(engines)
+	one, other := sender("one", 1), sender("other", 1)
+	a.deliver(time.Second, one, fleet.Update{Sequence: 1, Full: true})
+	a.deliver(time.Second, other, fleet.Update{Sequence: 1, Full: true})
+	for i, engine := range engines {
+		now := time.Duration(i+2) * time.Second
+		out.take("other")
+		a.deliver(now, one, fleet.Update{
+			Sequence: uint64(i + 2), Unreachable: []string{engine.ID},
+			Losses: []fleet.Loss{{Engine: engine.ID, Parts: []placement.PartID{deadly, sound}, SentAgeMS: 100, LostAgeMS: 50}},
+		})
+		if i == 1 {
+			blocked := out.take("other").Blocked
+			is.True(blocked != nil)
+			is.Equal(len(blocked.Parts), 0)
+			is.Equal(len(blocked.Watched), 2)
+			a.deliver(now, other, fleet.Update{Sequence: 2, Responses: []fleet.Response{{Service: "s", Parts: []placement.PartID{sound}}}})
+		}
+	}
+	blocked := out.take("other").Blocked
+	is.True(blocked != nil)
+	is.Equal(len(blocked.Parts), 1)
+	is.Equal(blocked.Parts[0].Part, deadly)
+
+	successor, sent := newTestAllocator(4)
+	successor.deliver(5*time.Second, other, fleet.Update{Sequence: 1, Full: true, Blocked: blocked.Parts})
+	successor.deliver(6*time.Second, one, fleet.Update{Sequence: 1, Full: true})
+	is.Equal(len(sent.take("one").Blocked.Parts), 1)
+}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -29,7 +29,7 @@
 	body          []byte
 	tokens        platform.TokenCounts
 	hasTokens     bool
-	parts         []placement.PartID // parts of the prompt of a model request that others may share
+	parts         []placement.PartID // parts of the prompt that others may share, and the fingerprints
 
 	arrived  time.Duration // by clock()
 	dueAt    time.Duration // time at which the response, or the first event of a stream, is due
@@ -53,6 +53,10 @@
 	cause       string        // cause of the most recent failed send
 	// connectionLost states whether the engine closed or reset the connection of the most recent send.
 	connectionLost bool
+	// Of the most recent send: the header of a response to it has arrived, or the engine refused a connection, also
+	// one that replaced a kept connection.
+	responseBegun     bool
+	connectionRefused bool
 }
 
 // ServeHTTP serves a caller's request.
@@ -118,6 +122,7 @@
 	if x.service.Model != nil {
 		x.parts = platform.ParsePromptParts(x.request.Header)
 	}
+	x.parts = append(x.parts, x.fingerprints()...)
 	return 0, ""
 }
 
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -74,6 +75,7 @@
 	if p.allocator() != "" {
 		return
 	}
+	p.blockLocally(now)
 	p.local.SetPermitDemand("", p.dataCentre, p.balancer.PermitDemand(now))
 	for _, permit := range p.local.GrantPermits(now) {
 		p.balancer.AddPermits(now, permit.Engine, 1)
@@ -92,6 +94,31 @@
 	p.exhausted.Store(&exhausted)
 }
 
+// blockLocally adds what the local placement has blocked to the list of the former allocator.
+func (p *placer) blockLocally(now time.Duration) {
+	changes := p.local.PartChanges()
+	if watchChanged := p.local.WatchChanged(); len(changes) == 0 && !watchChanged {
+		return
+	}
+	parts := p.blocked.List(now)
+	for _, change := range changes {
+		p.logger.Warn().Str("service", change.Service).Str("part", strconv.FormatUint(uint64(change.Part), 16)).
+			Bool("blocked", change.Blocked).Int("crashes", change.Crashes).Msg("block of a request part changed")
+		if !change.Blocked {
+			parts = slices.DeleteFunc(parts, func(b placement.BlockedPart) bool {
+				return b.Service == change.Service && b.Part == change.Part
+			})
+		}
+	}
+	for _, b := range p.local.BlockedParts(now) {
+		known := func(other placement.BlockedPart) bool { return other.Service == b.Service && other.Part == b.Part }
+		if !slices.ContainsFunc(parts, known) {
+			parts = append(parts, b)
+		}
+	}
+	p.blocked.Set(now, parts, p.local.WatchedParts(now))
+}
+
 func ticketID(id placement.RequestID) uint64 {
 	n, err := strconv.ParseUint(string(id), 10, 64)
 	if err != nil {
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,8 @@
 	engine    string        // of eventLeaving and eventRest
 	until     time.Duration // end of the rest
 	limit     placement.RateLimit
+	lost      *placement.LostRequest // of eventLost
+	response  fleet.Response
 	outcome   placement.Outcome
 	tokens    int
 	charge    fleet.Charge
@@ -88,6 +91,9 @@
 	eventRest
 	eventRateLimit
 	eventPermitNeeded
+	eventLost
+	eventUnreachable
+	eventResponse
 )
 
 // placer is the worker that acquires slots for this instance's requests. It asks the leader's allocator,
@@ -122,8 +128,13 @@
 	engines []placement.Engine
 
 	switches *metrics.Counter
+	// unreachableAt holds when an engine of a plain service was last reported to accept no connection.
+	unreachableAt map[string]time.Duration
 }
 
+// unreachableInterval is the interval at which the same unreachable engine is reported.
+const unreachableInterval = time.Second
+
 type backoff struct {
 	until time.Duration
 	delay time.Duration
@@ -141,8 +152,10 @@
 		events:     ring.New[placerEvent](eventCapacity),
 		tickets:    map[uint64]*ticket{},
 		backoffs:   map[string]backoff{},
-		local:      placement.New(),
-		switches:   o.Metrics.NewCounter("primrosebeam_allocator_switches_total"),
+
+		unreachableAt: map[string]time.Duration{},
+		local:         placement.New(),
+		switches:      o.Metrics.NewCounter("primrosebeam_allocator_switches_total"),
 	}
 	none := ""
 	p.currentAllocator.Store(&none)
@@ -190,6 +203,21 @@
 // PermitNeeded reports at once that a request waits for a permit.
 func (p *placer) PermitNeeded() { p.post(placerEvent{kind: eventPermitNeeded}) }
 
+// Lost reports a request to a plain service whose connection was lost before a response.
+func (p *placer) Lost(lost *placement.LostRequest) { p.post(placerEvent{kind: eventLost, lost: lost}) }
+
+// Unreachable reports that an engine of a plain service accepted no connection.
+func (p *placer) Unreachable(engine string) {
+	p.post(placerEvent{kind: eventUnreachable, engine: engine})
+}
+
+// Responded reports a response of a plain service if the allocator has to learn of it.
+func (p *placer) Responded(service string, parts []placement.PartID) {
+	if p.blocked.IsWatched(parts) {
+		p.post(placerEvent{kind: eventResponse, response: fleet.Response{Service: service, Parts: parts}})
+	}
+}
+
 // IsExhausted reports whether the quota of a workspace is used up.
 func (p *placer) IsExhausted(workspace string) bool {
 	return slices.Contains(*p.exhausted.Load(), workspace)
@@ -268,9 +296,30 @@
 		p.applyRateLimits(now)
 	case eventPermitNeeded:
 		p.pendingUpdate() // carries the demand
+	case eventLost:
+		p.pendingUpdate().Losses = append(p.pendingUpdate().Losses, fleet.Loss{
+			Engine: e.lost.Engine, Parts: e.lost.Parts,
+			SentAgeMS: (now - e.lost.SentAt).Milliseconds(), LostAgeMS: (now - e.lost.LostAt).Milliseconds(),
+		})
+		p.local.RecordLostRequest(now, e.lost)
+	case eventUnreachable:
+		p.recordUnreachable(now, e.engine)
+	case eventResponse:
+		p.pendingUpdate().Responses = append(p.pendingUpdate().Responses, e.response)
+		p.local.RecordResponse(now, e.response.Service, e.response.Parts)
 	}
 }
 
+func (p *placer) recordUnreachable(now time.Duration, engine string) {
+	p.local.RecordUnreachable(now, engine)
+	if at, known := p.unreachableAt[engine]; known && now-at < unreachableInterval {
+		return
+	}
+	maps.DeleteFunc(p.unreachableAt, func(_ string, at time.Duration) bool { return now-at >= unreachableInterval })
+	p.unreachableAt[engine] = now
+	p.pendingUpdate().Unreachable = append(p.pendingUpdate().Unreachable, engine)
+}
+
 // applyRateLimits makes the local placement and the balancer follow the rate limits that are known.
 func (p *placer) applyRateLimits(now time.Duration) {
 	p.local.SetRateLimits(now, p.notices.RateLimits())
@@ -340,7 +389,7 @@
 		p.onLeaving(engine, from)
 	}
 	if decisions.Blocked != nil {
-		p.blocked.Set(now, decisions.Blocked.Parts)
+		p.blocked.Set(now, decisions.Blocked.Parts, decisions.Blocked.Watched)
 	}
 	changed := false
 	for i := range decisions.RateLimits {
@@ -459,7 +508,11 @@
 }
 
 func (p *placer) fullUpdate(now time.Duration) *fleet.Update {
-	u := &fleet.Update{Full: true, Charges: p.pendingUpdate().Charges, Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now)}
+	pending := p.pendingUpdate()
+	u := &fleet.Update{
+		Full: true, Charges: pending.Charges, Losses: pending.Losses, Unreachable: pending.Unreachable, Responses: pending.Responses,
+		Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now),
+	}
 	for engine, until := range p.notices.Rests(now) {
 		u.Rests = append(u.Rests, newFleetRest(now, engine, until))
 	}
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -172,3 +172,54 @@
 	is.Equal(u.RateLimits, []fleet.RateLimit{{Engine: "e", PerSecond: 2, AgeMS: 351}})
 	is.Equal(u.PermitDemand, []placement.PermitDemand{{Service: "s", Expected: 1}})
 }
+
+// TestRequestIsBlockedWithoutAllocator guards against a request that crashes engines of a plain service being sent
+// again and again by an instance that reaches no allocator, and against a block that a new allocator does not learn of.
+func TestRequestIsBlockedWithoutAllocator(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t)
+	const deadly = placement.PartID(7)
+	var engines []placement.Engine
+	for _, id := range []string{"e0", "e1", "e2"} {
+		engines = append(engines, placement.Engine{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 4})
+	}
+	p.post(placerEvent{kind: eventEngines, engines: engines})
+	p.step(time.Second)
+	now := time.Second
+	for _, e := range engines {
+		is.Equal(p.blocked.BlockedFor(now, "s", []placement.PartID{deadly}), time.Duration(0))
+		p.Lost(&placement.LostRequest{Engine: e.ID, Parts: []placement.PartID{deadly}, SentAt: now + time.Millisecond, LostAt: now + 2*time.Millisecond})
+		p.Unreachable(e.ID)
+		now += time.Second
+		p.step(now)
+	}
+	is.True(p.blocked.BlockedFor(now, "s", []placement.PartID{deadly}) > time.Minute)
+	p.allocators = func() []string { return []string{"allocator"} }
+	p.step(now + time.Second)
+	is.Equal(len(out.last("allocator").Blocked), 1)
+	is.Equal(out.last("allocator").Blocked[0].Part, deadly)
+}
+
+// TestUnreachableEngineIsReportedOnceASecond guards against an update for each request while engines are down, and
+// against reports that a full update drops.
+func TestUnreachableEngineIsReportedOnceASecond(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t, "allocator")
+	p.Unreachable("e")
+	p.Lost(&placement.LostRequest{Engine: "e", Parts: []placement.PartID{1}})
+	p.step(time.Second)
+	is.True(out.last("allocator").Full)
+	is.Equal(out.last("allocator").Unreachable, []string{"e"})
+	is.Equal(len(out.last("allocator").Losses), 1)
+	updates := len(out.sent["allocator"])
+	for range 5 {
+		p.Unreachable("e")
+	}
+	p.step(time.Second + time.Millisecond)
+	is.Equal(len(out.sent["allocator"]), updates)
+	p.post(placerEvent{kind: eventDecisions, from: "allocator", decisions: &fleet.Decisions{Sequence: 1, LastUpdate: uint64(updates)}})
+	p.step(time.Second + 2*time.Millisecond)
+	p.Unreachable("e")
+	p.step(2 * time.Second)
+	is.Equal(out.last("allocator").Unreachable, []string{"e"})
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -151,7 +151,7 @@
 	return slot{}, false
 }
 
-// blockedFor returns how long requests with the parts of the prompt of this one are blocked, or 0.
+// blockedFor returns how long repetitions of this request, or requests with the parts of its prompt, are blocked, or 0.
 func (x *exchange) blockedFor(now time.Duration) time.Duration {
 	if len(x.parts) == 0 {
 		return 0
@@ -176,13 +176,13 @@
 // acquireSlot waits for a slot. It returns false if there is none; it has then sent the final response to the
 // caller.
 func (x *exchange) acquireSlot(ctx context.Context) (slot, bool) {
-	if x.service.Model == nil {
-		return x.pickEngine(ctx)
-	}
 	if left := x.blockedFor(clock()); left > 0 {
 		x.finishUnplaced(reason(placement.ReasonBlockedPart), left)
 		return slot{}, false
 	}
+	if x.service.Model == nil {
+		return x.pickEngine(ctx)
+	}
 	t, err := x.edge.placer.Submit(x.placementRequest())
 	if err != nil {
 		x.finishUnplaced(reasonQueueFull, notReadyRetry)
@@ -244,10 +244,27 @@
 		engine:     engine,
 		acquiredAt: clock(),
 		firstEvent: func() {},
-		end:        func(o placement.Outcome, _ int) { x.edge.balancer.Done(clock(), engine.ID, o) },
+		end:        func(o placement.Outcome, _ int) { x.endPlain(engine.ID, o) },
 	}, true
 }
 
+// endPlain records the end of a send to an engine of a plain service. The allocator learns what may show that the
+// request has crashed the engine.
+func (x *exchange) endPlain(engine string, outcome placement.Outcome) {
+	now := clock()
+	x.edge.balancer.Done(now, engine, outcome)
+	lost := outcome == placement.OutcomeConnectionLost && !x.responseBegun
+	if lost {
+		x.edge.placer.Lost(&placement.LostRequest{Engine: engine, Parts: x.parts, SentAt: x.sentAt, LostAt: now})
+	}
+	if outcome == placement.OutcomeUnreachable || lost && x.connectionRefused {
+		x.edge.placer.Unreachable(engine)
+	}
+	if x.responseBegun && outcome != placement.OutcomeUnused {
+		x.edge.placer.Responded(x.service.Name, x.parts)
+	}
+}
+
 // permitWaitShare is the fraction of the route's objective for which a request waits for a permit. After it, coming
 // back later is better for the caller than a response that is late for certain.
 const permitWaitShare = 0.5
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net"
@@ -11,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/placement"
@@ -43,7 +45,8 @@
 func (x *exchange) send(ctx context.Context, s slot) sendResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.engine, x.connectionLost, x.sentAt = s.engine.ID, false, clock()
+	x.engine, x.sentAt = s.engine.ID, clock()
+	x.connectionLost, x.responseBegun, x.connectionRefused = false, false, false
 	request, connection, err := x.engineRequest(ctx, s.engine)
 	if err != nil {
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("building the request for the engine failed")
@@ -54,9 +57,11 @@
 	response, err := x.edge.transport.RoundTrip(request)
 	if err != nil {
 		x.cause = causeOf(err, watch)
+		x.connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
 		return x.classifyTransportError(connection.established(), watch)
 	}
 	defer response.Body.Close()
+	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
 	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -125,6 +125,25 @@
 	RateLimits []RateLimit `cbor:"14,keyasint,omitempty"`
 	// PermitDemand holds the permits that the instance can use, which replace those of the last update.
 	PermitDemand []placement.PermitDemand `cbor:"15,keyasint,omitempty"`
+	// Events of requests to plain services, which the allocator does not track otherwise.
+	Losses      []Loss     `cbor:"16,keyasint,omitempty"`
+	Unreachable []string   `cbor:"17,keyasint,omitempty"` // IDs of engines that accepted no connection
+	Responses   []Response `cbor:"18,keyasint,omitempty"` // to requests with a part of BlockList.Watched
+}
+
+// Loss reports a request to an engine of a plain service whose connection was lost before a response. Ages are
+// relative to the creation of the update.
+type Loss struct {
+	Engine    string             `cbor:"1,keyasint"`
+	Parts     []placement.PartID `cbor:"2,keyasint,omitempty"`
+	SentAgeMS int64              `cbor:"3,keyasint,omitempty"`
+	LostAgeMS int64              `cbor:"4,keyasint,omitempty"`
+}
+
+// Response reports that a plain service responded to a request.
+type Response struct {
+	Service string             `cbor:"1,keyasint"`
+	Parts   []placement.PartID `cbor:"2,keyasint,omitempty"`
 }
 
 // RateLimit is what is known about the rate limit of an engine.
@@ -183,7 +202,7 @@
 	EventGapMS           int64    `cbor:"18,keyasint,omitempty"`
 	TokensPerEvent       int      `cbor:"19,keyasint,omitempty"`
 	PartlyDelivered      bool     `cbor:"17,keyasint,omitempty"` // the caller has the first part of the response
-	// Parts are the parts of the prompt that other requests may share.
+	// Parts are the parts of the prompt that other requests may share, and the fingerprints of the request.
 	Parts []placement.PartID `cbor:"20,keyasint,omitempty"`
 }
 
@@ -242,9 +261,11 @@
 	return append(list, Permits{Engine: engine, Count: 1})
 }
 
-// BlockList holds all parts of prompts that are blocked.
+// BlockList holds all parts of prompts and all requests that are blocked.
 type BlockList struct {
 	Parts []placement.BlockedPart `cbor:"1,keyasint,omitempty"`
+	// Watched holds the parts whose responses entry instances report in Update.Responses.
+	Watched []placement.PartID `cbor:"2,keyasint,omitempty"`
 }
 
 // Grant assigns a slot of an engine to a request.
--- a/placement/blocked.go
+++ b/placement/blocked.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -10,13 +11,23 @@
 type BlockList struct{ current atomic.Pointer[blockList] }
 
 type blockList struct {
-	parts []BlockedPart
-	at    time.Duration
+	parts   []BlockedPart
+	watched []PartID
+	at      time.Duration
 }
 
-// Set replaces the list.
-func (l *BlockList) Set(now time.Duration, parts []BlockedPart) {
-	l.current.Store(&blockList{parts: parts, at: now})
+// Set replaces the list. watched holds the parts whose responses the allocator has to learn of.
+func (l *BlockList) Set(now time.Duration, parts []BlockedPart, watched []PartID) {
+	l.current.Store(&blockList{parts: parts, watched: watched, at: now})
+}
+
+// IsWatched reports whether a response to a request with these parts has to be reported.
+func (l *BlockList) IsWatched(parts []PartID) bool {
+	current := l.current.Load()
+	if current == nil || len(current.watched) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(parts, func(part PartID) bool { return slices.Contains(current.watched, part) })
 }
 
 // BlockedFor returns how long a request with these parts of its prompt is blocked, or 0.
--- a/placement/core.go
+++ b/placement/core.go
@@ -339,7 +339,7 @@
 		s := c.service(e.Service)
 		e.recordFailure(now, s.maySuspend(now), s.mayThrottle(now))
 		if outcome == OutcomeConnectionLost {
-			e.recordLoss(now, r)
+			e.recordLoss(now, lostRun{parts: r.Parts, grantedAt: r.grantedAt, lostAt: now}, !r.started)
 		}
 		if e.lostAll() {
 			c.recordCrash(now, e)
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -21,6 +21,7 @@
 type losses struct {
 	count     int // started ones included
 	since     time.Duration
+	newest    time.Duration
 	unstarted []lostRun
 }
 
@@ -32,8 +33,8 @@
 	Unstarted int // those of them without a response
 }
 
-// recordLoss records that the connection of a run was lost.
-func (e *engine) recordLoss(now time.Duration, r *trackedRequest) {
+// recordLoss records that the connection of a run was lost, which had no response if it is unstarted.
+func (e *engine) recordLoss(now time.Duration, run lostRun, unstarted bool) {
 	if e.losses.count > 0 && now-e.losses.since > crashWindow {
 		e.losses = losses{}
 	}
@@ -41,8 +42,9 @@
 		e.losses.since = now
 	}
 	e.losses.count++
-	if !r.started && len(r.Parts) > 0 {
-		e.losses.unstarted = append(e.losses.unstarted, lostRun{parts: r.Parts, grantedAt: r.grantedAt, lostAt: now})
+	e.losses.newest = now
+	if unstarted && len(run.parts) > 0 {
+		e.losses.unstarted = append(e.losses.unstarted, run)
 	}
 }
 
@@ -60,12 +62,14 @@
 func (c *Core) recordCrash(now time.Duration, e *engine) {
 	lost := e.losses
 	e.losses = losses{}
-	if lost.count == 0 || now-lost.since > crashWindow {
+	if lost.count == 0 || now-lost.newest > crashWindow {
 		return
 	}
 	s := c.service(e.Service)
 	for i := range lost.unstarted {
-		s.suspects.recordCrash(now, &lost.unstarted[i])
+		if now-lost.unstarted[i].lostAt <= crashWindow {
+			s.suspects.recordCrash(now, &lost.unstarted[i])
+		}
 	}
 	known := e.crashedAt != 0 && now-e.crashedAt <= crashWindow // the rest of the runs of the same crash
 	if e.crashedAt = now; !known && len(c.crashes) < maxHealthChanges {
@@ -73,6 +77,64 @@
 	}
 }
 
+// LostRequest is a request to an engine of a plain service whose connection was lost before a response.
+type LostRequest struct {
+	Engine string
+	Parts  []PartID
+	SentAt time.Duration
+	LostAt time.Duration
+}
+
+// RecordLostRequest records the loss of a request that an instance sent without a grant. Its instances report these
+// and unreachable engines apart, and in any order.
+func (c *Core) RecordLostRequest(now time.Duration, lost *LostRequest) {
+	e := c.engines[lost.Engine]
+	if e == nil {
+		return
+	}
+	e.recordLoss(now, lostRun{parts: lost.Parts, grantedAt: lost.SentAt, lostAt: lost.LostAt}, true)
+	if e.unreachableAt != 0 && now-e.unreachableAt <= crashWindow {
+		c.recordCrash(now, e)
+	}
+}
+
+// RecordUnreachable records that an engine of a plain service accepted no connection.
+func (c *Core) RecordUnreachable(now time.Duration, engineID string) {
+	if e := c.engines[engineID]; e != nil {
+		e.unreachableAt = now
+		c.recordCrash(now, e)
+	}
+}
+
+// RecordResponse records that a plain service responded to a request with these parts.
+func (c *Core) RecordResponse(now time.Duration, service string, parts []PartID) {
+	c.service(service).suspects.recordResponse(now, parts)
+}
+
+// WatchedParts returns the parts whose responses instances have to report, because requests to plain services are not
+// tracked here: those that are close to being blocked, or were.
+func (c *Core) WatchedParts(now time.Duration) []PartID {
+	var parts []PartID
+	for _, s := range c.services {
+		for part, suspect := range s.suspects.parts {
+			if suspect.isWatched() && !suspect.isForgotten(now) {
+				parts = append(parts, part)
+			}
+		}
+	}
+	return parts
+}
+
+// WatchChanged reports whether the result of WatchedParts may have changed since the last call.
+func (c *Core) WatchChanged() bool {
+	changed := false
+	for _, s := range c.services {
+		changed = changed || s.suspects.watchChanged
+		s.suspects.watchChanged = false
+	}
+	return changed
+}
+
 // Crashes returns the crashes since the last call.
 func (c *Core) Crashes() []Crash {
 	crashes := c.crashes
--- /dev/null
+++ b/placement/crash_test.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const repeatedRequest, otherRequest = PartID(0xfeed), PartID(0xbeef)
+
+// plainCrashes plays engines of a plain service that crash one after the other, as instances report it.
+type plainCrashes struct {
+	core *Core
+	now  time.Duration
+}
+
+func newPlainCrashes() *plainCrashes {
+	p := &plainCrashes{core: New(), now: time.Second}
+	p.core.SetEngines([]Engine{testEngine("e0", 4), testEngine("e1", 4), testEngine("e2", 4), testEngine("e3", 4)})
+	return p
+}
+
+// lose reports a request that was sent now and lost its connection 50 ms later.
+func (p *plainCrashes) lose(engine string, parts ...PartID) {
+	sent := p.now
+	p.now += 50 * time.Millisecond
+	p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: parts, SentAt: sent, LostAt: p.now})
+}
+
+func (p *plainCrashes) refuse(engine string) {
+	p.now += 10 * time.Millisecond
+	p.core.RecordUnreachable(p.now, engine)
+}
+
+func (p *plainCrashes) isBlocked(part PartID) bool {
+	return p.core.services["s"] != nil && p.core.services["s"].suspects.blockedFor(p.now, []PartID{part}) > 0
+}
+
+// TestRepeatedRequestThatCrashesPlainEnginesIsBlocked guards against a request that is sent again after it has crashed
+// three engines of a plain service, whatever shows the crashes and in whatever order.
+func TestRepeatedRequestThatCrashesPlainEnginesIsBlocked(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		crash func(p *plainCrashes, engine string)
+	}{
+		{"refused connection afterwards", func(p *plainCrashes, engine string) { p.lose(engine, repeatedRequest); p.refuse(engine) }},
+		{"refused connection reported before", func(p *plainCrashes, engine string) {
+			p.refuse(engine)
+			p.lose(engine, repeatedRequest)
+		}},
+		{"gone from the list without notice", func(p *plainCrashes, engine string) {
+			p.lose(engine, repeatedRequest)
+			var left []Engine
+			for _, e := range p.core.services["s"].engines {
+				if e.ID != engine {
+					left = append(left, e.Engine)
+				}
+			}
+			p.core.SetEngines(left)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlainCrashes()
+			for _, engine := range []string{"e0", "e1"} {
+				test.crash(p, engine)
+				p.core.Decide(p.now)
+			}
+			is.True(!p.isBlocked(repeatedRequest))
+			is.Equal(p.core.WatchedParts(p.now), []PartID{repeatedRequest})
+			test.crash(p, "e2")
+			is.True(p.isBlocked(repeatedRequest))
+			is.True(!p.isBlocked(otherRequest))
+		})
+	}
+}
+
+// TestCrashesCountInAnyOrder guards against a crash that does not count because that of a later engine was recognised
+// first.
+func TestCrashesCountInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		p.lose(engine, repeatedRequest)
+	}
+	for _, engine := range []string{"e2", "e1", "e0"} {
+		p.refuse(engine)
+	}
+	is.True(p.isBlocked(repeatedRequest))
+}
+
+// TestResetConnectionsAreNoCrashes guards against blocked requests at engines that reset connections and go on.
+func TestResetConnectionsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for range 9 {
+		p.lose("e0", repeatedRequest)
+		p.lose("e1", repeatedRequest)
+	}
+	is.True(!p.isBlocked(repeatedRequest))
+	p.now += 2 * crashWindow
+	p.refuse("e0") // has nothing to do with them
+	p.refuse("e1")
+	is.True(!p.isBlocked(repeatedRequest))
+	is.Equal(len(p.core.WatchedParts(p.now)), 0)
+}
+
+// TestResponseClearsRepeatedRequest guards against a sound request that is blocked because it happened to run at
+// engines that crashed for another reason.
+func TestResponseClearsRepeatedRequest(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for _, engine := range []string{"e0", "e1", "e2", "e3"} {
+		p.lose(engine, repeatedRequest, otherRequest)
+		p.refuse(engine)
+		p.core.RecordResponse(p.now, "s", []PartID{otherRequest})
+	}
+	is.True(p.isBlocked(repeatedRequest))
+	is.True(!p.isBlocked(otherRequest))
+	is.True(p.core.WatchChanged())
+	is.True(!p.core.WatchChanged())
+}
+
+// TestSimultaneousCrashesCountOnce guards against a request that is sent by many callers and blocked because several
+// engines crash at the same time.
+func TestSimultaneousCrashesCountOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for _, engine := range []string{"e0", "e1", "e2", "e3"} {
+		p.core.RecordLostRequest(p.now+50*time.Millisecond, &LostRequest{
+			Engine: engine, Parts: []PartID{otherRequest}, SentAt: p.now, LostAt: p.now + 50*time.Millisecond,
+		})
+	}
+	p.now += 50 * time.Millisecond
+	for _, engine := range []string{"e0", "e1", "e2", "e3"} {
+		p.refuse(engine)
+	}
+	is.True(!p.isBlocked(otherRequest))
+}
+
+// TestPromptPartSharedWithRepeatedRequestStaysAllowed guards against sound requests that are refused because they
+// share the only shared part of their prompt with a request that crashes engines.
+func TestPromptPartSharedWithRepeatedRequestStaysAllowed(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	const prompt = PartID(1)
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		p.lose(engine, prompt, repeatedRequest)
+		p.refuse(engine)
+	}
+	s := &p.core.services["s"].suspects
+	is.True(s.blockedFor(p.now, []PartID{prompt, repeatedRequest}) > 0)
+	is.Equal(s.blockedFor(p.now, []PartID{prompt, otherRequest}), time.Duration(0))
+}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -70,7 +70,7 @@
 	ReasonNoEngine Reason = "no-engine" // no engine of the service may run it
 	ReasonQuota    Reason = "quota"     // its workspace has used up its quota
 	ReasonRate     Reason = "rate"      // the engines of the service that could run it state rate limits
-	// ReasonBlockedPart means that a part of the prompt has crashed several engines.
+	// ReasonBlockedPart means that the request, or a part of its prompt, has crashed several engines.
 	ReasonBlockedPart Reason = "blocked-part"
 )
 
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -59,6 +59,7 @@
 	lastResponse        time.Duration // last time that a run delivered its first event or completed
 	losses              losses
 	crashedAt           time.Duration // last crash, 0 if there was none
+	unreachableAt       time.Duration // last time that an engine of a plain service accepted no connection, or 0
 	// rests holds until when the engine wants no requests from an owner. Nil while there is none.
 	rests map[string]time.Duration
 }
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// PartID identifies a part of a prompt. Requests whose prompts share a part have the same ID for it.
+// PartID identifies something that requests have in common: a part of their prompts, or the fingerprint of a request
+// and of its repetitions.
 type PartID uint64
 
 const (
@@ -20,22 +21,27 @@
 	// a trial with a part that still crashes engines costs the streams of one engine.
 	firstBlock = 2 * time.Minute
 	maxBlock   = time.Hour
+	// overlapTolerance is by how much two runs may seem to overlap although one followed the other, because the
+	// times come from several messages in whole milliseconds.
+	overlapTolerance = 5 * time.Millisecond
 	// suspicionTime is the time without a further crash after which a part that is not blocked is forgotten.
 	suspicionTime = time.Minute
 	// maxSuspects is the maximum number of parts that are tracked for a service.
 	maxSuspects = 4096
 )
 
-// suspects tracks the parts of prompts that may crash the engines of a service. It is made for a prompt that an
-// engine cannot bear: every engine that begins to respond to a request with it ends, and all instances send such
-// requests, which also contain parts of sound ones.
+// suspects tracks the parts of requests that may crash the engines of a service. It is made for a prompt, or a request,
+// that an engine cannot bear: every engine that begins to respond to it ends, and all instances send such requests,
+// which also contain parts of sound ones.
 //
 // A part is suspected if it was in the prompt of a run that had no response when its engine crashed. Only a run
-// that was granted after the former crash counts as a further one, so crashes of many engines at the same time
-// count once. As sound requests share their other parts, a response clears all but the part at fault.
+// that did not overlap with that of the former crash counts as a further one, so crashes of many engines at the same
+// time count once. As sound requests share their other parts, a response clears all but the part at fault.
 type suspects struct {
 	parts   map[PartID]*suspect
 	changes []PartChange
+	// watchChanged states that a part has become watched, or is not any more.
+	watchChanged bool
 	// released holds when blocked parts were released. Others may still report the block.
 	released map[PartID]time.Duration
 }
@@ -44,6 +50,7 @@
 type suspect struct {
 	crashes      int
 	lastCrash    time.Duration
+	lastGrant    time.Duration   // grant of the run of the last crash
 	trial        *trackedRequest // newest run since trialAfter was reached
 	blockedUntil time.Duration
 	blockTime    time.Duration // length of the last block, 0 before the first one
@@ -89,6 +96,9 @@
 	return s.blockTime == 0 && now-s.lastCrash > suspicionTime
 }
 
+// isWatched reports whether the next crash blocks the part, or one did.
+func (s *suspect) isWatched() bool { return s.crashes >= trialAfter }
+
 // onTrial reports whether the outcome of a run with the part is awaited. A run at an engine that stays silent for
 // too long is no trial any more.
 func (s *suspect) onTrial(now time.Duration) bool {
@@ -96,6 +106,13 @@
 	return r != nil && r.engine != nil && !r.started && now-r.grantedAt <= r.firstEventLimit
 }
 
+// overlaps reports whether a run was in progress at the same time as that of the newest crash.
+func (s *suspect) overlaps(run *lostRun) bool {
+	follows := run.grantedAt > s.lastGrant && run.grantedAt >= s.lastCrash-overlapTolerance
+	precedes := run.lostAt < s.lastCrash && run.lostAt <= s.lastGrant+overlapTolerance
+	return !follows && !precedes
+}
+
 // recordCrash records that an engine crashed before it responded to a run.
 func (t *suspects) recordCrash(now time.Duration, run *lostRun) {
 	if t.refine(now, run.parts) {
@@ -104,11 +121,12 @@
 	var reached []PartID
 	for _, part := range run.parts {
 		s := t.suspect(now, part)
-		if s.crashes > 0 && run.grantedAt <= s.lastCrash {
+		if s.crashes > 0 && s.overlaps(run) {
 			continue
 		}
 		s.crashes++
-		s.lastCrash = run.lostAt
+		t.watchChanged = t.watchChanged || s.isWatched()
+		s.lastCrash, s.lastGrant = max(s.lastCrash, run.lostAt), max(s.lastGrant, run.grantedAt)
 		if s.crashes >= blockAfter {
 			reached = append(reached, part)
 		}
@@ -185,6 +203,7 @@
 		return
 	}
 	delete(t.parts, part)
+	t.watchChanged = t.watchChanged || s.isWatched()
 	for _, other := range s.blockedWith {
 		if o := t.parts[other]; o != nil {
 			o.blockedWith = slices.DeleteFunc(slices.Clone(o.blockedWith), func(p PartID) bool { return p == part })
@@ -219,7 +238,7 @@
 // recordGrant records a run, which is the trial of its suspected parts.
 func (t *suspects) recordGrant(r *trackedRequest) {
 	for _, part := range r.Parts {
-		if s := t.parts[part]; s != nil && s.crashes >= trialAfter {
+		if s := t.parts[part]; s != nil && s.isWatched() {
 			s.trial = r
 		}
 	}
@@ -242,7 +261,7 @@
 		return false
 	}
 	for _, part := range parts {
-		if s := t.parts[part]; s != nil && s.crashes >= trialAfter && !s.isForgotten(now) && s.onTrial(now) {
+		if s := t.parts[part]; s != nil && s.isWatched() && !s.isForgotten(now) && s.onTrial(now) {
 			return true
 		}
 	}
@@ -273,6 +292,7 @@
 		crashes: blockAfter, lastCrash: now, blockedUntil: now + left, blockTime: max(left, firstBlock),
 		blockedWith: b.With, adopted: true,
 	}
+	t.watchChanged = true
 	t.changes = append(t.changes, PartChange{Part: b.Part, Blocked: true, Crashes: s.crashes})
 }
 
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -307,7 +307,7 @@
 	is.Equal(len(next.blockedIDs()), 0)
 
 	var entry BlockList
-	entry.Set(p.now, list)
+	entry.Set(p.now, list, nil)
 	is.True(entry.BlockedFor(p.now, "s", []PartID{sharedPart, deadlyPart}) > firstBlock-time.Second)
 	is.Equal(entry.BlockedFor(p.now, "other", []PartID{deadlyPart}), time.Duration(0))
 	is.Equal(entry.BlockedFor(p.now, "s", []PartID{sharedPart}), time.Duration(0))
