Soak: engines state rate limits while the allocator changes

Before the herds, some engines or all state a limit of 1 to 6 requests a second for 6 s, while control instances are killed and frozen one after the other; the requests in any 4 s are checked against the users' bound, which moves to the stand-in of the engine.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,7 @@
 		w.waitFor("service", startTimeout, w.isServing)
 		w.startLoad(clientCount)
 		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
+		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
 		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
 		repaired := time.Now()
 		w.waitFor("service after the faults", recoveryTimeout, w.isServing)
@@ -171,6 +172,47 @@
 	}
 }
 
+// limitRates lets some engines state rate limits while control instances are killed and frozen, so that the allocator
+// changes, and checks that the engines get no more requests. It has random numbers of its own.
+func limitRates(s *system, w *workload, random *rand.Rand) {
+	const limitedTime = 6 * time.Second
+	perSecond := 1 + 5*random.Float64()
+	limited := []*standin.Engine{s.engines[random.IntN(modelEngines)], s.engines[modelEngines+random.IntN(plainEngines)]}
+	if random.IntN(3) == 0 {
+		limited = s.engines
+	}
+	for _, e := range limited {
+		e.SetRateLimit(perSecond)
+	}
+	start := time.Now().Add(standin.RateLimitNoticed)
+	deadline := time.Now().Add(limitedTime)
+	for time.Now().Before(deadline) {
+		p := s.control()[random.IntN(controlInstances)]
+		pause := time.Duration(100+random.IntN(900)) * time.Millisecond
+		switch random.IntN(3) {
+		case 0:
+			if p.reserve() {
+				p.stop(syscall.SIGKILL)
+				s.scheduleRepair(pause, func() { s.restart(p) })
+			}
+		case 1:
+			p.signal(syscall.SIGSTOP)
+			s.scheduleRepair(pause, func() { p.signal(syscall.SIGCONT) })
+		}
+		time.Sleep(pause)
+	}
+	end := time.Now()
+	for _, e := range limited {
+		e.SetRateLimit(0)
+		most := e.MostArrivals(standin.RateLimitWindow, start, end)
+		if permitted := standin.PermittedArrivals(perSecond); float64(most) > permitted {
+			w.t.Errorf("%s states %.1f requests a second and got %d in %v, %.1f are permitted", e.ID, perSecond, most, standin.RateLimitWindow, permitted)
+		}
+	}
+	s.waitForRepairs()
+	w.waitFor("service after rate limits", recoveryTimeout, w.isServing)
+}
+
 // injectHerds injects faults that hit all processes or engines of one kind at once, one after the other: all entry
 // instances or all control instances are killed, or all engines refuse requests and ask for a rest. It has random
 // numbers of its own, so that the faults before it stay the same for a seed.
