Count crashes that are up to ten minutes apart

A response ends the row as before, so what sound requests share stays allowed. TestCrashesFarApartCount (two minutes apart) failed before.

--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -153,3 +153,16 @@
 	is.True(s.blockedFor(p.now, []PartID{prompt, repeatedRequest}) > 0)
 	is.Equal(s.blockedFor(p.now, []PartID{prompt, otherRequest}), time.Duration(0))
 }
+
+// TestCrashesFarApartCount guards against a request that is sent again without end because it comes rarely.
+func TestCrashesFarApartCount(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		p.lose(engine, repeatedRequest)
+		p.refuse(engine)
+		p.now += 2 * time.Minute
+	}
+	p.now -= 2 * time.Minute
+	is.True(p.isBlocked(repeatedRequest))
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -25,7 +25,7 @@
 	// times come from several messages in whole milliseconds.
 	overlapTolerance = 5 * time.Millisecond
 	// suspicionTime is the time without a further crash after which a part that is not blocked is forgotten.
-	suspicionTime = time.Minute
+	suspicionTime = 10 * time.Minute
 	// maxSuspects is the maximum number of parts that are tracked for a service.
 	maxSuspects = 4096
 )
