Count permits; bound the wait for one on routes without an objective

A request of a route without an objective was refused at once when all engines state rate limits; it now waits up to half of its remaining time. The allocator counts the permits that it grants.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -67,8 +67,8 @@
 	learned           atomic.Pointer[placement.Learned] // published at publishedAt
 	publishedAt       time.Duration
 
-	granted, rejected, dropped *metrics.Counter
-	waiting                    *metrics.Histogram
+	granted, rejected, dropped, permits *metrics.Counter
+	waiting                             *metrics.Histogram
 }
 
 // owner is an entry instance and the state of its message streams.
@@ -111,6 +111,7 @@
 		silent:   map[string]uint64{},
 		granted:  o.Metrics.NewCounter("primrosebeam_placement_grants_total"),
 		rejected: o.Metrics.NewCounter("primrosebeam_placement_rejections_total"),
+		permits:  o.Metrics.NewCounter("primrosebeam_placement_permits_total"),
 		dropped:  o.Metrics.NewCounter("primrosebeam_placement_updates_dropped_total"),
 		waiting:  o.Metrics.NewHistogram("primrosebeam_placement_waiting_requests"),
 	}
@@ -491,7 +492,9 @@
 			})
 		}
 	}
-	for _, permit := range a.core.GrantPermits(now) {
+	permits := a.core.GrantPermits(now)
+	a.permits.Add(len(permits))
+	for _, permit := range permits {
 		if o := a.owners[permit.Owner]; o != nil {
 			o.pendingDecisions().Permits = fleet.AddPermit(o.pendingDecisions().Permits, permit.Engine)
 		}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -269,6 +269,15 @@
 // back later is better for the caller than a response that is late for certain.
 const permitWaitShare = 0.5
 
+// permitTimeout returns how long the request may wait for a permit. Without an objective the deadline counts.
+func (x *exchange) permitTimeout() time.Duration {
+	objective := x.route.Objective
+	if objective <= 0 {
+		objective = x.timeLeft()
+	}
+	return time.Duration(permitWaitShare * float64(objective))
+}
+
 // awaitEngine picks an engine of a plain service. Without one it returns the reason.
 func (x *exchange) awaitEngine(ctx context.Context) (placement.Engine, placement.Reason) {
 	b, service := x.edge.balancer, x.service.Name
@@ -283,7 +292,7 @@
 	start := clock()
 	defer func() { x.queueTime += clock() - start }()
 	defer b.AwaitPermit(service)()
-	timeout := time.NewTimer(time.Duration(permitWaitShare * float64(x.route.Objective)))
+	timeout := time.NewTimer(x.permitTimeout())
 	defer timeout.Stop()
 	x.edge.placer.PermitNeeded()
 	for {
