--- a/internal/edge/run_test.go
+++ b/internal/edge/run_test.go
@@ -81,3 +81,55 @@
 		})
 	}
 }
+
+// TestRequestWaitsForPermit guards against requests to engines with rate limits that are refused although a permit is
+// about to arrive, that are held when none does, or that hold an engine after their callers have left.
+func TestRequestWaitsForPermit(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		during func(x *exchange, leave func()) // while the request waits
+		engine string                          // that it gets
+		status int                             // otherwise; 0 if the caller has left
+	}{
+		{"permit", func(x *exchange, _ func()) { x.edge.balancer.AddPermits(clock(), "e", 1) }, "e", 0},
+		{"end of the limit", func(x *exchange, _ func()) {
+			x.edge.notices.RecordRateLimit(placement.RateLimit{Engine: "e", Lifted: true, At: clock()})
+			x.edge.balancer.RateLimitsChanged()
+		}, "e", 0},
+		{"none", func(*exchange, func()) {}, "", http.StatusServiceUnavailable},
+		{"caller leaves", func(_ *exchange, leave func()) { leave() }, "", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newTestEdge(t, nil)
+			e.notices.RecordRateLimit(placement.RateLimit{Engine: "e", PerSecond: 1, At: clock()})
+			e.balancer.SetEngines([]placement.Engine{{ID: "e", Service: "s", Slots: 4}})
+			writer := httptest.NewRecorder()
+			callerContext, leave := context.WithCancel(t.Context())
+			defer leave()
+			request := httptest.NewRequest(http.MethodPost, "http://host/path", nil).WithContext(callerContext)
+			x := newTestExchange(e, routing.KindIdempotent, writer, request)
+			x.route.Objective = 400 * time.Millisecond
+			start := clock()
+			time.AfterFunc(20*time.Millisecond, func() { test.during(x, leave) })
+			var left any
+			acquired, ok := func() (s slot, ok bool) {
+				defer func() { left = recover() }() // finishCallerLeft aborts the handler
+				return x.pickEngine(callerContext)
+			}()
+			waited := clock() - start
+			is.Equal(ok, test.engine != "")
+			is.Equal(acquired.engine.ID, test.engine)
+			is.Equal(len(e.balancer.PermitDemand(clock())) > 0 && e.balancer.PermitDemand(clock())[0].Waiting > 0, false)
+			switch {
+			case test.status != 0:
+				is.Equal(writer.Code, test.status)
+				is.True(writer.Header().Get("Retry-After") != "")
+				is.True(waited >= x.permitTimeout())
+			case test.engine == "":
+				is.Equal(left, http.ErrAbortHandler)
+				is.True(waited < x.permitTimeout())
+			}
+		})
+	}
+}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -106,12 +106,13 @@
 }
 
 // recordRateLimit records the rate limit that the engine states, or that it states none any more. Only a signed
-// response to this request shows the latter.
+// response to this request without any statement shows the latter.
 func (x *exchange) recordRateLimit(r *http.Response, engine placement.Engine) {
 	perSecond, stated := platform.ParseRateLimit(r.Header)
 	if stated {
 		x.edge.counters.rateLimits.Inc()
-	} else if r.Header.Get(platform.HeaderSignature) == "" || r.Header.Get(platform.HeaderAttempt) != x.id {
+	} else if r.Header.Get(platform.HeaderRateLimit) != "" || r.Header.Get(platform.HeaderSignature) == "" ||
+		r.Header.Get(platform.HeaderAttempt) != x.id {
 		return
 	}
 	limit, report := x.edge.notices.ObserveRateLimit(clock(), x.sentAt, engine.ID, perSecond, stated)
