Do not take a permit that is not there

An entry instance crashed when a rate limit was recorded while it picked an engine: the limit was read twice, and the second time found no permit to take. Found by reading the diff; TestRateLimitMayBeginDuringPick panicked before.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -98,7 +98,7 @@
 		return Engine{}, false
 	}
 	best.inFlight++
-	if _, limited := b.notices.RateLimit(best.ID); limited {
+	if len(best.permits) > 0 {
 		best.permits = best.permits[1:]
 	}
 	return best.Engine, true
--- a/placement/permit_test.go
+++ b/placement/permit_test.go
@@ -129,3 +129,28 @@
 		is.Equal(len(grantedBy(c, 4)), 0)
 	})
 }
+
+// TestRateLimitMayBeginDuringPick guards against a crash when a limit is recorded while an engine is being picked.
+func TestRateLimitMayBeginDuringPick(t *testing.T) {
+	b := newLimitedBalancer("a")
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for at := time.Duration(2); ; at++ {
+			select {
+			case <-stop:
+				return
+			default:
+				b.notices.RecordRateLimit(RateLimit{Engine: "limited", PerSecond: 2, Lifted: at%2 == 0, At: at})
+			}
+		}
+	}()
+	for range 20_000 {
+		if e, ok := b.Pick(0, "s", []string{"free"}); ok {
+			b.Done(0, e.ID, OutcomeCompleted)
+		}
+	}
+	close(stop)
+	<-done
+}
