--- a/placement/overload.go
+++ b/placement/overload.go
@@ -112,7 +112,7 @@
 
 // capacity returns the combined speed of the engines of a service, in engines of average speed.
 func (c *Core) capacity(now time.Duration, s *service) float64 {
-	return c.sumOf(now, s, func(e *engine) float64 { return 1 / max(e.slowness, minSlowness) })
+	return c.sumCapacity(now, s, func(e *engine) float64 { return 1 / max(e.slowness, minSlowness) })
 }
 
 // slotCapacity returns the combined speed of the slots of a service that rate limits let requests fill, in slots of an
@@ -122,11 +122,11 @@
 	if len(c.pacers) > 0 {
 		perRequest = s.recentArrivals.meanWork()
 	}
-	return c.sumOf(now, s, func(e *engine) float64 { return c.usableSlots(e, perRequest) })
+	return c.sumCapacity(now, s, func(e *engine) float64 { return c.usableSlots(e, perRequest) })
 }
 
-// sumOf adds up the capacities of the engines of a service.
-func (c *Core) sumOf(now time.Duration, s *service, capacityOf func(*engine) float64) float64 {
+// sumCapacity adds up the capacities of the engines of a service.
+func (c *Core) sumCapacity(now time.Duration, s *service, capacityOf func(*engine) float64) float64 {
 	total := 0.0
 	for _, e := range s.engines {
 		if c.scope != "" && e.DataCentre != c.scope || e.Leaving {
