Do not block sound requests for minutes that were lost with a deadly one

An engine that has crashed loses all requests while it is still listed, and each loss counted as a crash of its own.

Change: a crash of an engine counts once for a part. If requests that have nothing in common would be blocked by the same crash, they are blocked for five seconds only, and a response clears the sound ones; if one is a part that the other has too, only requests with all of its parts are blocked.

TestLossesAtCrashedEngineCountOnce, TestBlockOfSeveralRequestsIsShort and TestMostSpecificSetIsBlocked failed before.

--- a/placement/crash.go
+++ b/placement/crash.go
@@ -66,11 +66,7 @@
 		return
 	}
 	s := c.service(e.Service)
-	for i := range lost.unstarted {
-		if now-lost.unstarted[i].lostAt <= crashWindow {
-			s.suspects.recordCrash(now, &lost.unstarted[i])
-		}
-	}
+	s.suspects.recordCrash(now, e.ID, slices.DeleteFunc(lost.unstarted, func(run lostRun) bool { return now-run.lostAt > crashWindow }))
 	known := e.crashedAt != 0 && now-e.crashedAt <= crashWindow // the rest of the runs of the same crash
 	if e.crashedAt = now; !known && len(c.crashes) < maxHealthChanges {
 		c.crashes = append(c.crashes, Crash{Engine: e.ID, Service: e.Service, Lost: lost.count, Unstarted: len(lost.unstarted)})
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -166,3 +166,71 @@
 	p.now -= 2 * time.Minute
 	is.True(p.isBlocked(repeatedRequest))
 }
+
+// TestLossesAtCrashedEngineCountOnce guards against a sound request that comes often and is blocked because a single
+// engine that has crashed loses it again and again while it is listed.
+func TestLossesAtCrashedEngineCountOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for range 6 {
+		p.lose("e0", otherRequest)
+	}
+	p.refuse("e0")
+	for range 6 {
+		p.lose("e0", otherRequest)
+		p.refuse("e0")
+	}
+	is.True(!p.isBlocked(otherRequest))
+	is.Equal(len(p.core.WatchedParts(p.now)), 0)
+}
+
+// TestBlockOfSeveralRequestsIsShort guards against a sound request that is blocked for minutes because it happened to
+// run at the same engines as the one that crashed them.
+func TestBlockOfSeveralRequestsIsShort(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	crash := func(engine string) {
+		sent := p.now
+		p.now += 50 * time.Millisecond
+		for _, part := range []PartID{repeatedRequest, otherRequest} {
+			p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: []PartID{part}, SentAt: sent, LostAt: p.now})
+		}
+		p.refuse(engine)
+	}
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		crash(engine)
+	}
+	is.True(p.isBlocked(repeatedRequest))
+	is.True(p.isBlocked(otherRequest))
+	p.now += ambiguousBlock
+	is.True(!p.isBlocked(repeatedRequest))
+	is.True(!p.isBlocked(otherRequest))
+	p.core.RecordResponse(p.now, "s", []PartID{otherRequest})
+	crash("e3")
+	is.True(!p.isBlocked(otherRequest))
+	p.now += firstBlock - time.Second
+	is.True(p.isBlocked(repeatedRequest))
+}
+
+// TestMostSpecificSetIsBlocked guards against a part of a prompt that is blocked for all sound requests because some
+// of them were lost with the request that crashed the engines.
+func TestMostSpecificSetIsBlocked(t *testing.T) {
+	is := is.New(t)
+	const prompt = PartID(1)
+	p := newPlainCrashes()
+	for i, engine := range []string{"e0", "e1", "e2"} {
+		sent := p.now
+		p.now += 50 * time.Millisecond
+		for _, parts := range [][]PartID{{prompt, PartID(100 + i)}, {prompt, repeatedRequest}, {prompt, PartID(200 + i)}} {
+			p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: parts, SentAt: sent, LostAt: p.now})
+		}
+		p.refuse(engine)
+	}
+	s := &p.core.services["s"].suspects
+	is.Equal(s.blockedFor(p.now, []PartID{prompt, otherRequest}), time.Duration(0))
+	is.Equal(s.blockedFor(p.now, []PartID{prompt, repeatedRequest}), firstBlock)
+
+	p.lose("e3", prompt, otherRequest) // it was the part
+	p.refuse("e3")
+	is.True(s.blockedFor(p.now, []PartID{prompt}) > 0)
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -21,6 +21,11 @@
 	// a trial with a part that still crashes engines costs the streams of one engine.
 	firstBlock = 2 * time.Minute
 	maxBlock   = time.Hour
+	// ambiguousBlock is how long parts are blocked if different requests were lost with the crash that lets block
+	// them. The sound ones get a response afterwards; the next crash tells the other.
+	ambiguousBlock = 5 * time.Second
+	// maxCrashedEngines is the number of engines that are remembered for a part.
+	maxCrashedEngines = 8
 	// overlapTolerance is by how much two runs may seem to overlap although one followed the other, because the
 	// times come from several messages in whole milliseconds.
 	overlapTolerance = 5 * time.Millisecond
@@ -51,6 +56,7 @@
 	crashes      int
 	lastCrash    time.Duration
 	lastGrant    time.Duration   // grant of the run of the last crash
+	engines      []crashedEngine // the newest crashes, oldest first
 	trial        *trackedRequest // newest run since trialAfter was reached
 	blockedUntil time.Duration
 	blockTime    time.Duration // length of the last block, 0 before the first one
@@ -60,6 +66,18 @@
 	adopted     bool // blocked by another core, which this one follows
 }
 
+// crashedEngine is an engine that crashed.
+type crashedEngine struct {
+	id string
+	at time.Duration
+}
+
+// crashedAt reports whether the loss of a run at an engine belongs to a crash that was counted: an engine that has
+// crashed loses all requests while it is still listed.
+func (s *suspect) crashedAt(lostAt time.Duration, engine string) bool {
+	return slices.ContainsFunc(s.engines, func(e crashedEngine) bool { return e.id == engine && lostAt-e.at <= crashWindow })
+}
+
 // PartChange reports that a part of prompts was blocked or released.
 type PartChange struct {
 	Service string
@@ -113,27 +131,66 @@
 	return !follows && !precedes
 }
 
-// recordCrash records that an engine crashed before it responded to a run.
-func (t *suspects) recordCrash(now time.Duration, run *lostRun) {
-	if t.refine(now, run.parts) {
-		return
+// recordCrash records that an engine crashed before it responded to some runs. Each part counts once, however many of
+// the runs had it.
+func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun) {
+	counted := map[PartID]bool{}
+	var blocked [][]PartID // the parts that each run lets block
+	for i := range runs {
+		if t.refine(now, runs[i].parts) {
+			continue
+		}
+		if reached := t.countCrash(now, engine, &runs[i], counted); len(reached) > 0 {
+			blocked = append(blocked, reached)
+		}
+	}
+	blocked = mostSpecific(blocked)
+	ambiguous := len(blocked) > 1
+	for _, parts := range blocked {
+		for _, part := range parts {
+			t.block(now, part, parts, ambiguous)
+		}
+	}
+}
+
+// mostSpecific returns the sets that are not contained in another one, each once. If a request and a part that it
+// shares with others could be at fault, only the request is blocked: a further crash tells if it was the part.
+func mostSpecific(sets [][]PartID) [][]PartID {
+	var out [][]PartID
+	for i, set := range sets {
+		contained := false
+		for j, other := range sets {
+			if i != j && containsAll(other, set) && (len(other) > len(set) || j < i) {
+				contained = true
+			}
+		}
+		if !contained {
+			out = append(out, set)
+		}
 	}
-	var reached []PartID
+	return out
+}
+
+// countCrash counts a crash for the parts of a run and returns those that have to be blocked.
+func (t *suspects) countCrash(now time.Duration, engine string, run *lostRun, counted map[PartID]bool) (reached []PartID) {
 	for _, part := range run.parts {
 		s := t.suspect(now, part)
-		if s.crashes > 0 && s.overlaps(run) {
-			continue
+		if !counted[part] {
+			if s.crashes > 0 && s.overlaps(run) || s.crashedAt(run.lostAt, engine) {
+				continue
+			}
+			counted[part] = true
+			s.crashes++
+			t.watchChanged = t.watchChanged || s.isWatched()
+			s.lastCrash, s.lastGrant = max(s.lastCrash, run.lostAt), max(s.lastGrant, run.grantedAt)
+			s.engines = append(s.engines, crashedEngine{engine, run.lostAt})
+			s.engines = s.engines[max(len(s.engines)-maxCrashedEngines, 0):]
 		}
-		s.crashes++
-		t.watchChanged = t.watchChanged || s.isWatched()
-		s.lastCrash, s.lastGrant = max(s.lastCrash, run.lostAt), max(s.lastGrant, run.grantedAt)
 		if s.crashes >= blockAfter {
 			reached = append(reached, part)
 		}
 	}
-	for _, part := range reached {
-		t.block(now, part, reached)
-	}
+	return reached
 }
 
 // refine handles the crash of a run with blocked parts, which explain it. If the run had only some of the parts
@@ -187,11 +244,15 @@
 	delete(t.parts, oldest)
 }
 
-func (t *suspects) block(now time.Duration, part PartID, with []PartID) {
+func (t *suspects) block(now time.Duration, part PartID, with []PartID, ambiguous bool) {
 	s := t.parts[part]
 	delete(t.released, part)
-	s.blockTime = min(max(2*s.blockTime, firstBlock), maxBlock)
-	s.blockedUntil = now + s.blockTime
+	if ambiguous {
+		s.blockedUntil = now + ambiguousBlock
+	} else {
+		s.blockTime = min(max(2*s.blockTime, firstBlock), maxBlock)
+		s.blockedUntil = now + s.blockTime
+	}
 	s.blockedWith = with
 	t.changes = append(t.changes, PartChange{Part: part, Blocked: true, Crashes: s.crashes})
 }
