Forget crashes when another allocator saw what followed them

The placement of an entry instance and a former allocator counted crashes, but the responses in between were reported to the allocator in use, so that one more crash seemed to be the third in a row.

Change: an entry instance counts only while it decides by itself, from nothing, and an allocator forgets what it suspects, not what is blocked, when it gets its first entry instance again and when it pauses its grants.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -260,6 +260,7 @@
 func (a *Allocator) pauseGrants(now time.Duration) {
 	a.grantsPausedUntil = now + reportTime
 	a.core.RestartRateLimits(now)
+	a.core.ForgetSuspicions(now)
 	a.reports = reports{}
 }
 
@@ -288,6 +289,9 @@
 			a.core.RemoveOwner(from.Name) // the requests belong to an earlier start of the instance
 		}
 		delete(a.silent, from.Name)
+		if len(a.owners) == 0 {
+			a.core.ForgetSuspicions(now) // another allocator may have seen what clears them
+		}
 		o = &owner{name: from.Name, dataCentre: from.DataCentre, incarnation: from.Incarnation}
 		a.owners[from.Name] = o
 		a.updateQuotaShare(now)
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -384,3 +384,31 @@
 	successor.deliver(6*time.Second, one, fleet.Update{Sequence: 1, Full: true})
 	is.Equal(len(sent.take("one").Blocked.Parts), 1)
 }
+
+// TestFormerAllocatorForgetsSuspicions guards against a sound request that is blocked by an allocator which has counted
+// crashes long ago, while responses to it were reported to another one.
+func TestFormerAllocatorForgetsSuspicions(t *testing.T) {
+	is := is.New(t)
+	const sound = placement.PartID(2)
+	a, out := newTestAllocator(4)
+	engines := []placement.Engine{}
+	for _, id := range []string{"e0", "e1", "e2"} {
+		engines = append(engines, placement.Engine{ID: id, Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 4})
+	}
+	a.core.SetEngines(engines)
+	one := sender("one", 1)
+	crash := func(now time.Duration, sequence uint64, engine string, full bool) {
+		a.deliver(now, one, fleet.Update{
+			Sequence: sequence, Full: full, Unreachable: []string{engine},
+			Losses: []fleet.Loss{{Engine: engine, Parts: []placement.PartID{sound}, SentAgeMS: 100, LostAgeMS: 50}},
+		})
+	}
+	crash(1*time.Second, 1, "e0", true)
+	crash(2*time.Second, 2, "e1", false)
+	a.deliver(3*time.Second, one, fleet.Update{Leave: true})
+	out.take("one")
+	crash(60*time.Second, 1, "e2", true)
+	blocked := out.take("one").Blocked
+	is.True(blocked != nil)
+	is.Equal(len(blocked.Parts), 0)
+}
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -301,7 +301,9 @@
 			Engine: e.lost.Engine, Parts: e.lost.Parts,
 			SentAgeMS: (now - e.lost.SentAt).Milliseconds(), LostAgeMS: (now - e.lost.LostAt).Milliseconds(),
 		})
-		p.local.RecordLostRequest(now, e.lost)
+		if p.allocator() == "" {
+			p.local.RecordLostRequest(now, e.lost)
+		}
 	case eventUnreachable:
 		p.recordUnreachable(now, e.engine)
 	case eventResponse:
@@ -311,7 +313,9 @@
 }
 
 func (p *placer) recordUnreachable(now time.Duration, engine string) {
-	p.local.RecordUnreachable(now, engine)
+	if p.allocator() == "" {
+		p.local.RecordUnreachable(now, engine)
+	}
 	if at, known := p.unreachableAt[engine]; known && now-at < unreachableInterval {
 		return
 	}
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -223,3 +224,31 @@
 	p.step(2 * time.Second)
 	is.Equal(out.last("allocator").Unreachable, []string{"e"})
 }
+
+// TestLocalBlocksIgnoreWhatAnAllocatorSaw guards against sound requests that are blocked once no allocator can be
+// reached, because of crashes that happened while one was, which saw the responses in between.
+func TestLocalBlocksIgnoreWhatAnAllocatorSaw(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPlacer(t, "allocator")
+	const sound = placement.PartID(7)
+	var engines []placement.Engine
+	for i := range 4 {
+		engines = append(engines, placement.Engine{ID: fmt.Sprint("e", i), Service: "s", Address: "10.0.0.1:1", Slots: 4})
+	}
+	p.post(placerEvent{kind: eventEngines, engines: engines})
+	now := time.Second
+	for i, e := range engines {
+		if i == 3 {
+			p.allocators = func() []string { return nil }
+			p.step(now)
+			is.Equal(p.allocator(), "")
+		} else {
+			p.post(placerEvent{kind: eventDecisions, from: "allocator", decisions: &fleet.Decisions{Sequence: uint64(i + 1), LastUpdate: 99}})
+		}
+		p.Lost(&placement.LostRequest{Engine: e.ID, Parts: []placement.PartID{sound}, SentAt: now + time.Millisecond, LostAt: now + 2*time.Millisecond})
+		p.Unreachable(e.ID)
+		now += 100 * time.Millisecond
+		p.step(now)
+	}
+	is.Equal(p.blocked.BlockedFor(now, "s", []placement.PartID{sound}), time.Duration(0))
+}
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -131,6 +131,21 @@
 	return changed
 }
 
+// ForgetSuspicions forgets the parts that crashed engines and are not blocked. Responses that would have cleared them
+// may have been reported to another core.
+func (c *Core) ForgetSuspicions(now time.Duration) {
+	for _, s := range c.services {
+		s.suspects.forget(func(suspect *suspect) bool { return !suspect.isBlocked(now) && suspect.blockTime == 0 })
+	}
+}
+
+// ForgetSuspects forgets all parts that crashed engines, also those that are blocked.
+func (c *Core) ForgetSuspects() {
+	for _, s := range c.services {
+		s.suspects = suspects{}
+	}
+}
+
 // Crashes returns the crashes since the last call.
 func (c *Core) Crashes() []Crash {
 	crashes := c.crashes
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -244,6 +244,12 @@
 	delete(t.parts, oldest)
 }
 
+func (t *suspects) forget(isForgotten func(*suspect) bool) {
+	before := len(t.parts)
+	maps.DeleteFunc(t.parts, func(_ PartID, s *suspect) bool { return isForgotten(s) })
+	t.watchChanged = t.watchChanged || len(t.parts) != before
+}
+
 func (t *suspects) block(now time.Duration, part PartID, with []PartID, ambiguous bool) {
 	s := t.parts[part]
 	delete(t.released, part)
