Soak: a request that crashes engines comes again and again

After the rate limits, a request that crashes plain engines comes every 100 to 300 ms for 7 s at all entry instances, while a control instance is killed or frozen; engines that crash leave the list and start again under new IDs. At most three of these requests may reach engines later than 3 s after the third crash, and service must be back.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -76,6 +77,7 @@
 		w.startLoad(clientCount)
 		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
 		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
+		repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
 		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
 		repaired := time.Now()
 		w.waitFor("service after the faults", recoveryTimeout, w.isServing)
@@ -213,6 +215,49 @@
 	w.waitFor("service after rate limits", recoveryTimeout, w.isServing)
 }
 
+// repeatDeadlyRequest sends a request that crashes the engines of the plain service again and again at all entry
+// instances, kills or freezes a control instance meanwhile, and checks that the request stops reaching engines. It has
+// random numbers of its own.
+func repeatDeadlyRequest(s *system, w *workload, random *rand.Rand) {
+	const (
+		contactTime    = 3 * time.Second // after the third crash, within which all instances must have reacted
+		repeatedTime   = 7 * time.Second
+		permittedSends = 3
+		path           = standin.IdempotentPath + "deadly-"
+	)
+	s.setDeadlyPath(path + "x")
+	begin := time.Now()
+	changeAt := begin.Add(time.Duration(random.IntN(3000)) * time.Millisecond)
+	for number := 0; time.Since(begin) < repeatedTime; number++ {
+		entry := s.entries()[number%entryInstances]
+		w.runInBackground(func() {
+			_, _ = w.send(&http.Client{Timeout: requestTimeout}, entry, path, standin.WorkspaceKey, w.newID()) // it fails
+		})
+		if !changeAt.IsZero() && time.Now().After(changeAt) {
+			changeAt = time.Time{}
+			p := s.control()[random.IntN(controlInstances)]
+			if pause := 800 * time.Millisecond; random.IntN(2) == 0 && p.reserve() {
+				p.stop(syscall.SIGKILL)
+				s.scheduleRepair(pause, func() { s.restart(p) })
+			} else {
+				p.signal(syscall.SIGSTOP)
+				s.scheduleRepair(pause, func() { p.signal(syscall.SIGCONT) })
+			}
+		}
+		s.restartCrashedEngines()
+		time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
+	}
+	w.backgroundTasks.Wait()
+	s.waitForRepairs()
+	crashes, late := s.deadlyArrivals(contactTime)
+	if len(crashes) == 0 || late > permittedSends {
+		w.t.Errorf("%d crashes; a request reached engines %d times later than %v after the third one, %d are permitted", len(crashes), late, contactTime, permittedSends)
+	}
+	s.setDeadlyPath("")
+	w.waitFor("engines after crashes", recoveryTimeout, s.restartCrashedEngines)
+	w.waitFor("service after crashes", recoveryTimeout, w.isServing)
+}
+
 // injectHerds injects faults that hit all processes or engines of one kind at once, one after the other: all entry
 // instances or all control instances are killed, or all engines refuse requests and ask for a rest. It has random
 // numbers of its own, so that the faults before it stay the same for a seed.
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -58,6 +60,7 @@
 	binary         string
 	processes      []*process
 	engines        []*standin.Engine
+	crashedEngines []*standin.Engine
 	listed         []placement.Engine // engines as listed in the directory, with the addresses of their proxies
 	directory      *standin.Directory
 	linkProxies    []*proxy // for connections between processes
@@ -150,6 +153,69 @@
 	s.listed = append(s.listed, listed)
 }
 
+// setDeadlyPath sets the path of requests that crash the engines of the plain service.
+func (s *system) setDeadlyPath(path string) {
+	for _, e := range s.engines[modelEngines:] {
+		e.SetDeadlyPath(path)
+	}
+}
+
+// engineDowntime is how long an engine that has crashed is down, and is missing on the list, before it starts again.
+const engineDowntime = 600 * time.Millisecond
+
+// restartCrashedEngines takes engines that have crashed off the list and starts them again under new IDs after
+// engineDowntime. It reports whether all engines run.
+func (s *system) restartCrashedEngines() bool {
+	allRun := true
+	var listed []placement.Engine
+	for i, e := range s.engines {
+		at := e.CrashedAt()
+		if at.IsZero() {
+			listed = append(listed, s.listed[i])
+			continue
+		}
+		allRun = false
+		if time.Since(at) < engineDowntime {
+			continue
+		}
+		again := e.Engine
+		again.ID = fmt.Sprintf("%s-again", e.ID)
+		started, err := standin.StartEngine(again, e.Events, e.Work)
+		if err != nil {
+			continue // the address is still in use
+		}
+		started.SetDeadlyPath(e.DeadlyPath())
+		s.crashedEngines = append(s.crashedEngines, e)
+		s.engines[i], s.listed[i].ID = started, again.ID
+		listed = append(listed, s.listed[i])
+	}
+	s.directory.Set(listed)
+	return allRun
+}
+
+// deadlyArrivals returns the times at which engines crashed, in order, and how many requests that crash engines
+// reached one later than contactTime after the third crash.
+func (s *system) deadlyArrivals(contactTime time.Duration) (crashes []time.Time, late int) {
+	all := append(append([]*standin.Engine{}, s.engines...), s.crashedEngines...)
+	for _, e := range all {
+		if at := e.CrashedAt(); !at.IsZero() {
+			crashes = append(crashes, at)
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	if len(crashes) < 3 {
+		return crashes, 0
+	}
+	for _, e := range all {
+		for _, run := range e.Runs() {
+			if strings.HasSuffix(run.Path, "/deadly-x") && run.At.After(crashes[2].Add(contactTime)) {
+				late++
+			}
+		}
+	}
+	return crashes, late
+}
+
 // start writes the settings of a process and starts it. An exit before stop counts as unexpected.
 func (s *system) start(p *process, bootstrap bool) {
 	p.settings.Bootstrap = bootstrap
--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -267,7 +267,7 @@
 		w.t.Errorf("configuration %d was acknowledged, but the newest one left is %d", w.acked, newest)
 	}
 	runs := map[string]int{}
-	for _, e := range w.system.engines {
+	for _, e := range append(append([]*standin.Engine{}, w.system.engines...), w.system.crashedEngines...) {
 		for _, r := range e.Runs() {
 			runs[r.Attempt]++
 		}
