--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -22,10 +22,15 @@
 }
 
 // lose reports a request that was sent now and lost its connection 50 ms later.
-func (p *plainCrashes) lose(engine string, parts ...PartID) {
+func (p *plainCrashes) lose(engine string, parts ...PartID) { p.loseTogether(engine, parts) }
+
+// loseTogether reports requests that were sent now and lost their connections 50 ms later, by their parts.
+func (p *plainCrashes) loseTogether(engine string, requests ...[]PartID) {
 	sent := p.now
 	p.now += 50 * time.Millisecond
-	p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: parts, SentAt: sent, LostAt: p.now})
+	for _, parts := range requests {
+		p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: parts, SentAt: sent, LostAt: p.now})
+	}
 }
 
 func (p *plainCrashes) refuse(engine string) {
@@ -190,11 +195,7 @@
 	is := is.New(t)
 	p := newPlainCrashes()
 	crash := func(engine string) {
-		sent := p.now
-		p.now += 50 * time.Millisecond
-		for _, part := range []PartID{repeatedRequest, otherRequest} {
-			p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: []PartID{part}, SentAt: sent, LostAt: p.now})
-		}
+		p.loseTogether(engine, []PartID{repeatedRequest}, []PartID{otherRequest})
 		p.refuse(engine)
 	}
 	for _, engine := range []string{"e0", "e1", "e2"} {
@@ -219,11 +220,7 @@
 	const prompt = PartID(1)
 	p := newPlainCrashes()
 	for i, engine := range []string{"e0", "e1", "e2"} {
-		sent := p.now
-		p.now += 50 * time.Millisecond
-		for _, parts := range [][]PartID{{prompt, PartID(100 + i)}, {prompt, repeatedRequest}, {prompt, PartID(200 + i)}} {
-			p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: parts, SentAt: sent, LostAt: p.now})
-		}
+		p.loseTogether(engine, []PartID{prompt, PartID(100 + i)}, []PartID{prompt, repeatedRequest}, []PartID{prompt, PartID(200 + i)})
 		p.refuse(engine)
 	}
 	s := &p.core.services["s"].suspects
--- a/placement/rate_limit_test.go
+++ b/placement/rate_limit_test.go
@@ -30,7 +30,6 @@
 // arrive every 20 ms, and three instances can always use permits.
 type limitedService struct {
 	cores []*Core // each with an equal share of the limit
-	sent  []time.Duration
 }
 
 func newLimitedService(now time.Duration, cores int, perSecond float64) *limitedService {
