Block briefly while another allocator may know more

The loss of the request at fault had been reported to the former allocator, so that only the sound one, which many callers send, seemed to have been lost at three engines.

Change: for five seconds after an instance joins with runs that another allocator has granted, or after an instance has lost its allocator, a block lasts five seconds. A response clears a sound request afterwards, and the next crash blocks the other for long.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -319,6 +319,9 @@
 			// Later ones may lack a change that this allocator has made.
 			o.reported = true
 			a.core.AdoptBlockedParts(now, u.Blocked)
+			if len(u.Runs) > 0 {
+				a.core.CountFrom(now) // another allocator has served this instance
+			}
 		}
 		decisions.Blocked = a.blockList(now)
 		decisions.RateLimits = fleet.NewRateLimits(now, a.notices.RateLimits())
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -43,6 +43,7 @@
 	p.setLocalEngines()
 	p.local.SetQuotaShare(now, 1/float64(p.entryCount()))
 	p.local.RestartRateLimits(now)
+	p.local.CountFrom(now)
 	p.local.ForgetSuspects() // what is blocked stands in p.blocked; an allocator has seen the rest
 	for _, t := range p.tickets {
 		if t.engine == "" {
--- a/placement/core.go
+++ b/placement/core.go
@@ -33,7 +33,9 @@
 	rejections    []Rejection
 	healthChanges []HealthChange
 	crashes       []Crash
-	decidedAt     time.Duration // time of the last call of Decide
+	// countsSince is the time from which all crashes and responses were reported here, 0 if there was no other core.
+	countsSince time.Duration
+	decidedAt   time.Duration // time of the last call of Decide
 }
 
 // trackedRequest is a request and its scheduling state.
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -66,7 +66,8 @@
 		return
 	}
 	s := c.service(e.Service)
-	s.suspects.recordCrash(now, e.ID, slices.DeleteFunc(lost.unstarted, func(run lostRun) bool { return now-run.lostAt > crashWindow }))
+	runs := slices.DeleteFunc(lost.unstarted, func(run lostRun) bool { return now-run.lostAt > crashWindow })
+	s.suspects.recordCrash(now, e.ID, runs, c.countsSince != 0 && now-c.countsSince < completeAfter)
 	known := e.crashedAt != 0 && now-e.crashedAt <= crashWindow // the rest of the runs of the same crash
 	if e.crashedAt = now; !known && len(c.crashes) < maxHealthChanges {
 		c.crashes = append(c.crashes, Crash{Engine: e.ID, Service: e.Service, Lost: lost.count, Unstarted: len(lost.unstarted)})
@@ -139,6 +140,9 @@
 	}
 }
 
+// CountFrom states that crashes and responses up to now may have been reported to another core.
+func (c *Core) CountFrom(now time.Duration) { c.countsSince = now }
+
 // ForgetSuspects forgets all parts that crashed engines, also those that are blocked.
 func (c *Core) ForgetSuspects() {
 	for _, s := range c.services {
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -231,3 +231,28 @@
 	p.refuse("e3")
 	is.True(s.blockedFor(p.now, []PartID{prompt}) > 0)
 }
+
+// TestBlockByNewCoreIsShort guards against a sound request that is blocked for minutes by a core that has just begun to
+// count, because the loss of the request at fault was reported to the former one.
+func TestBlockByNewCoreIsShort(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration // since the core began to count
+		block time.Duration
+	}{
+		{"new", time.Second, ambiguousBlock},
+		{"complete", completeAfter, firstBlock},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlainCrashes()
+			p.core.CountFrom(p.now)
+			p.now += test.after
+			for _, engine := range []string{"e0", "e1", "e2"} {
+				p.lose(engine, otherRequest)
+				p.refuse(engine)
+			}
+			is.Equal(p.core.services["s"].suspects.blockedFor(p.now, []PartID{otherRequest}), test.block)
+		})
+	}
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -22,8 +22,11 @@
 	firstBlock = 2 * time.Minute
 	maxBlock   = time.Hour
 	// ambiguousBlock is how long parts are blocked if different requests were lost with the crash that lets block
-	// them. The sound ones get a response afterwards; the next crash tells the other.
+	// them, or if another core may have seen what clears them. The sound ones get a response afterwards; the next
+	// crash tells the other.
 	ambiguousBlock = 5 * time.Second
+	// completeAfter is the time from which a new core has seen enough to tell sound requests from others.
+	completeAfter = 5 * time.Second
 	// maxCrashedEngines is the number of engines that are remembered for a part.
 	maxCrashedEngines = 8
 	// overlapTolerance is by how much two runs may seem to overlap although one followed the other, because the
@@ -132,8 +135,8 @@
 }
 
 // recordCrash records that an engine crashed before it responded to some runs. Each part counts once, however many of
-// the runs had it.
-func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun) {
+// the runs had it. incomplete states that other crashes and responses may have been reported to another core.
+func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun, incomplete bool) {
 	counted := map[PartID]bool{}
 	var blocked [][]PartID // the parts that each run lets block
 	for i := range runs {
@@ -145,7 +148,7 @@
 		}
 	}
 	blocked = mostSpecific(blocked)
-	ambiguous := len(blocked) > 1
+	ambiguous := incomplete || len(blocked) > 1
 	for _, parts := range blocked {
 		for _, part := range parts {
 			t.block(now, part, parts, ambiguous)
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -320,7 +320,7 @@
 	var s suspects
 	for i := range 2 * maxSuspects {
 		now := time.Duration(i+1) * time.Microsecond
-		s.recordCrash(now, "e", []lostRun{{parts: []PartID{PartID(i)}, grantedAt: now, lostAt: now}})
+		s.recordCrash(now, "e", []lostRun{{parts: []PartID{PartID(i)}, grantedAt: now, lostAt: now}}, false)
 	}
 	is.Equal(len(s.parts), maxSuspects)
 	is.True(s.parts[2*maxSuspects-1] != nil)
