Do not retry a lost request that is suspected to crash engines

A request whose fingerprint has been lost with two engines in a row was sent to up to MaxAttempts more within one attempt, each of which crashed. It now ends with 502 after the connection is lost. TestSuspectedRequestIsNotRetried.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -75,7 +75,7 @@
 }
 
 // shouldRetry decides whether the request is sent to another engine. A request that an engine may have run
-// is retried only if its route allows it. A request that engines refused to run may be sent to a few more.
+// is retried only if its route allows it, and not if it is suspected to crash engines. A request that engines refused to run may be sent to a few more.
 // Both use the retry budget, which limits the load that failing engines add. If an engine accepted no
 // connection, it received nothing, so a retry cannot run the request twice and uses no budget.
 func (x *exchange) shouldRetry(last sendResult) bool {
@@ -92,7 +92,8 @@
 	case resultFailed, resultIncomplete:
 		begun := x.headerSent && !x.isStream()
 		unnumbered := x.eventsSent > 0 && x.lastEventID == 0
-		if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || begun || unnumbered {
+		suspected := x.connectionLost && x.edge.placer.blocked.IsWatched(x.parts)
+		if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || begun || unnumbered || suspected {
 			return false
 		}
 	default:
--- a/internal/edge/run_test.go
+++ b/internal/edge/run_test.go
@@ -133,3 +133,28 @@
 		})
 	}
 }
+
+// TestSuspectedRequestIsNotRetried guards against a request that crashes one engine after the other in a single attempt
+// although engines have crashed with it before.
+func TestSuspectedRequestIsNotRetried(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		watched []placement.PartID
+		lost    bool
+		retried bool
+	}{
+		{"not suspected", []placement.PartID{8}, true, true},
+		{"suspected, connection lost", []placement.PartID{7}, true, false},
+		{"suspected, another failure", []placement.PartID{7}, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newTestEdge(t, nil)
+			x := newTestExchange(e, routing.KindIdempotent, httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://host/", nil))
+			x.route.MaxAttempts, x.sends = 3, 1
+			x.parts, x.connectionLost = []placement.PartID{7}, test.lost
+			e.placer.blocked.Set(clock(), nil, test.watched)
+			is.Equal(x.shouldRetry(resultFailed), test.retried)
+		})
+	}
+}
