Block the part that different requests have in common

When requests with different further parts reached the third crash together, only their combinations were blocked, and for five seconds, so that the part at fault went on crashing engines. What all of them have in common is blocked now. TestCommonPartOfDifferentRequestsIsBlocked failed before.

--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -256,3 +256,17 @@
 		})
 	}
 }
+
+// TestCommonPartOfDifferentRequestsIsBlocked guards against a part of a prompt that goes on crashing engines because
+// only its combinations with other parts are blocked.
+func TestCommonPartOfDifferentRequestsIsBlocked(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for _, engine := range []string{"e0", "e1", "e2"} {
+		p.loseTogether(engine, []PartID{deadlyPart, 101}, []PartID{deadlyPart, 102})
+		p.refuse(engine)
+	}
+	s := &p.core.services["s"].suspects
+	is.Equal(s.blockedFor(p.now, []PartID{deadlyPart, 103}), firstBlock)
+	is.Equal(s.blockedFor(p.now, []PartID{101, 102}), time.Duration(0))
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -148,6 +148,9 @@
 		}
 	}
 	blocked = mostSpecific(blocked)
+	if common := commonParts(blocked); len(common) > 0 {
+		blocked = [][]PartID{common}
+	}
 	ambiguous := incomplete || len(blocked) > 1
 	for _, parts := range blocked {
 		for _, part := range parts {
@@ -174,6 +177,16 @@
 	return out
 }
 
+// commonParts returns the parts that all sets have.
+func commonParts(sets [][]PartID) []PartID {
+	if len(sets) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(sets[0]), func(part PartID) bool {
+		return slices.ContainsFunc(sets, func(set []PartID) bool { return !slices.Contains(set, part) })
+	})
+}
+
 // countCrash counts a crash for the parts of a run and returns those that have to be blocked.
 func (t *suspects) countCrash(now time.Duration, engine string, run *lostRun, counted map[PartID]bool) (reached []PartID) {
 	for _, part := range run.parts {
