Attribute a crash to the request that is, or was, blocked for it

If one of the lost requests is blocked, the others do not count; nor if one was blocked and has had no response since. TestCrashByBlockedRequestBlocksNoOther failed before.

--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -270,3 +270,32 @@
 	is.Equal(s.blockedFor(p.now, []PartID{deadlyPart, 103}), firstBlock)
 	is.Equal(s.blockedFor(p.now, []PartID{101, 102}), time.Duration(0))
 }
+
+// TestCrashByBlockedRequestBlocksNoOther guards against sound requests that are blocked because they run at engines
+// that a request crashes which is, or was, blocked already.
+func TestCrashByBlockedRequestBlocksNoOther(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wait time.Duration // after the block
+	}{
+		{"is blocked", 0},
+		{"was blocked", firstBlock},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlainCrashes()
+			for _, engine := range []string{"e0", "e1", "e2"} {
+				p.lose(engine, repeatedRequest)
+				p.refuse(engine)
+			}
+			p.now += test.wait
+			for range 3 {
+				p.now += 2 * crashWindow
+				p.loseTogether("e3", []PartID{repeatedRequest}, []PartID{otherRequest})
+				p.refuse("e3")
+			}
+			is.True(p.isBlocked(repeatedRequest))
+			is.True(!p.isBlocked(otherRequest))
+		})
+	}
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -137,12 +137,19 @@
 // recordCrash records that an engine crashed before it responded to some runs. Each part counts once, however many of
 // the runs had it. incomplete states that other crashes and responses may have been reported to another core.
 func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun, incomplete bool) {
+	explained := false
+	for i := range runs {
+		explained = t.refine(now, runs[i].parts) || explained
+	}
+	if explained {
+		return // a blocked request crashed the engine; the other ones happened to run
+	}
+	if slices.ContainsFunc(runs, t.wasBlocked) {
+		runs = slices.DeleteFunc(slices.Clone(runs), func(run lostRun) bool { return !t.wasBlocked(run) })
+	}
 	counted := map[PartID]bool{}
 	var blocked [][]PartID // the parts that each run lets block
 	for i := range runs {
-		if t.refine(now, runs[i].parts) {
-			continue
-		}
 		if reached := t.countCrash(now, engine, &runs[i], counted); len(reached) > 0 {
 			blocked = append(blocked, reached)
 		}
@@ -159,6 +166,14 @@
 	}
 }
 
+// wasBlocked reports whether a run has a part that was blocked and has had no response since.
+func (t *suspects) wasBlocked(run lostRun) bool {
+	return slices.ContainsFunc(run.parts, func(part PartID) bool {
+		s := t.parts[part]
+		return s != nil && s.crashes >= blockAfter
+	})
+}
+
 // mostSpecific returns the sets that are not contained in another one, each once. If a request and a part that it
 // shares with others could be at fault, only the request is blocked: a further crash tells if it was the part.
 func mostSpecific(sets [][]PartID) [][]PartID {
