--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 package soak
 
 import (
-	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -32,14 +31,17 @@
 
 // regressions are the seeds that once failed, each with the cause of its failure.
 var regressions = []struct {
-	seed     uint64
-	duration time.Duration // 0 means that of the flag -for
-	cause    string
+	seed  uint64
+	run   func(t *testing.T, seed uint64, duration time.Duration)
+	cause string
 }{
-	{211, 0, "the harness started a process twice when a kill overlapped with a planned stop of it"},
-	{5, 0, "the harness lost a second disk 6 s after the first, whose replica had not rejoined under further faults"},
-	{4000, time.Second, "each request that an engine lost after its crash counted as a crash, so that a sound request was blocked"},
-	{4001, time.Second, "an entry instance counted crashes while an allocator saw the responses in between"},
+	{211, runSeed, "the harness started a process twice when a kill overlapped with a planned stop of it"},
+	{5, runSeed, "the harness lost a second disk 6 s after the first, whose replica had not rejoined under further faults"},
+	{4000, runDeadlyRequest, "each request that an engine lost after its crash counted as a crash, so that a sound request was blocked"},
+	{4001, runSeed, "an entry instance counted crashes while an allocator saw the responses in between"},
+	{5009, runDeadlyRequest, "a sound request was blocked after a change of allocator, as in 5101"},
+	{5101, runDeadlyRequest, "a new allocator had seen the losses of a sound request only, not those of the one at fault"},
+	{5110, runDeadlyRequest, "a crash by a blocked request counted for a sound one"},
 }
 
 const (
@@ -61,13 +63,27 @@
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
 		t.Log(r.cause)
-		runSeed(t, r.seed, cmp.Or(r.duration, *duration))
+		r.run(t, r.seed, *duration)
 	}
 }
 
-// runSeed starts a system, injects the faults of a seed under load for the given duration and checks the
-// guarantees.
+// runSeed injects the faults of a seed for the given duration, and those of the other phases.
 func runSeed(t *testing.T, seed uint64, duration time.Duration) {
+	runPhases(t, seed, func(s *system, w *workload) {
+		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
+		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
+		repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
+		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
+	})
+}
+
+// runDeadlyRequest repeats a request that crashes engines without other faults.
+func runDeadlyRequest(t *testing.T, seed uint64, _ time.Duration) {
+	runPhases(t, seed, func(s *system, w *workload) { repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4))) })
+}
+
+// runPhases starts a system, runs the phases of a seed under load and checks the guarantees.
+func runPhases(t *testing.T, seed uint64, phases func(*system, *workload)) {
 	t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 		folder := t.TempDir()
 		s := newSystem(t, folder)
@@ -79,10 +95,7 @@
 		w := newWorkload(t, s, seed)
 		w.waitFor("service", startTimeout, w.isServing)
 		w.startLoad(clientCount)
-		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
-		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
-		repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
-		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
+		phases(s, w)
 		repaired := time.Now()
 		w.waitFor("service after the faults", recoveryTimeout, w.isServing)
 		t.Logf("seed %d: all entry instances serve %v after the last repair; %s", seed, time.Since(repaired).Round(time.Millisecond), w.summary())
