--- a/placement/crash.go
+++ b/placement/crash.go
@@ -33,7 +33,7 @@
 	Unstarted int // those of them without a response
 }
 
-// recordLoss records that the connection of a run was lost, which had no response if it is unstarted.
+// recordLoss records that the connection of a run was lost. unstarted states that the run had no response.
 func (e *engine) recordLoss(now time.Duration, run lostRun, unstarted bool) {
 	if e.losses.count > 0 && now-e.losses.since > crashWindow {
 		e.losses = losses{}
@@ -82,8 +82,8 @@
 	LostAt time.Duration
 }
 
-// RecordLostRequest records the loss of a request that an instance sent without a grant. Its instances report these
-// and unreachable engines apart, and in any order.
+// RecordLostRequest records the loss of a request that an instance sent without a grant. The loss and the unreachable
+// engine that shows its crash may be reported by different instances, in any order.
 func (c *Core) RecordLostRequest(now time.Duration, lost *LostRequest) {
 	e := c.engines[lost.Engine]
 	if e == nil {
@@ -140,7 +140,7 @@
 	}
 }
 
-// CountFrom states that crashes and responses up to now may have been reported to another core.
+// CountFrom records that crashes and responses up to now may have been reported to another core.
 func (c *Core) CountFrom(now time.Duration) { c.countsSince = now }
 
 // ForgetSuspects forgets all parts that crashed engines, also those that are blocked.
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -75,8 +75,8 @@
 	at time.Duration
 }
 
-// crashedAt reports whether the loss of a run at an engine belongs to a crash that was counted: an engine that has
-// crashed loses all requests while it is still listed.
+// crashedAt reports whether the loss of a run at an engine belongs to a crash that was already counted. An engine that
+// has crashed loses all requests while it is still listed.
 func (s *suspect) crashedAt(lostAt time.Duration, engine string) bool {
 	return slices.ContainsFunc(s.engines, func(e crashedEngine) bool { return e.id == engine && lostAt-e.at <= crashWindow })
 }
@@ -117,7 +117,7 @@
 	return s.blockTime == 0 && now-s.lastCrash > suspicionTime
 }
 
-// isWatched reports whether the next crash blocks the part, or one did.
+// isWatched reports whether the next crash blocks the part, or the part was blocked before.
 func (s *suspect) isWatched() bool { return s.crashes >= trialAfter }
 
 // onTrial reports whether the outcome of a run with the part is awaited. A run at an engine that stays silent for
@@ -142,7 +142,7 @@
 		explained = t.refine(now, runs[i].parts) || explained
 	}
 	if explained {
-		return // a blocked request crashed the engine; the other ones happened to run
+		return // a blocked request crashed the engine while the others happened to run there
 	}
 	if slices.ContainsFunc(runs, t.wasBlocked) {
 		runs = slices.DeleteFunc(slices.Clone(runs), func(run lostRun) bool { return !t.wasBlocked(run) })
