Log the software version of engines, and which stream a request takes up

The version of an engine is now decoded from the list and stands in the lines of the list and of each request, with the attempt that a request resumes and the event after which it does.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -251,7 +251,7 @@
 		delete(before, e.ID)
 		if !known || old.Leaving != e.Leaving {
 			r.options.Logger.Info().Str("engine", e.ID).Str("address", e.Address).Str("service", e.Service).
-				Bool("leaving", e.Leaving).Msg("engine listed")
+				Str("version", e.Version).Bool("leaving", e.Leaving).Msg("engine listed")
 		}
 	}
 	for id := range before {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -39,6 +39,7 @@
 	sends       int           // engines that the request may have reached or that refused it
 	excluded    []string      // IDs of the engines that were tried
 	engine      string        // ID of the engine of the most recent send
+	version     string        // software version of that engine
 	sentAt      time.Duration // time of the most recent send
 	decision    slotDecision  // most recent decision about a slot
 	queueTime   time.Duration // total time spent waiting for slots
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+
+	"github.com/primrosebeam/primrosebeam/platform"
 )
 
 // reason is the outcome of a request in logs and metrics. The values of placement.Reason are used as well.
@@ -86,9 +88,12 @@
 		event.Str("workspace", x.workspace.Name).Dur("lease", x.leaseLeft)
 	}
 	if x.engine != "" {
-		event.Str("engine", x.engine).Int("sends", x.sends).Int("resends", x.retries).
+		event.Str("engine", x.engine).Str("version", x.version).Int("sends", x.sends).Int("resends", x.retries).
 			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
+	if after := x.request.Header.Get(platform.HeaderLastEvent); after != "" {
+		event.Str("after", after).Str("resumes", x.request.Header.Get(platform.HeaderResumes))
+	}
 	if x.cause != "" && why != reasonAnswered {
 		event.Str("cause", x.cause).Str("fingerprint", strconv.FormatUint(uint64(x.fingerprints()[0]), 16))
 	}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -45,7 +45,7 @@
 func (x *exchange) send(ctx context.Context, s slot) sendResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.engine, x.sentAt = s.engine.ID, clock()
+	x.engine, x.version, x.sentAt = s.engine.ID, s.engine.Version, clock()
 	x.connectionLost, x.responseBegun, x.connectionRefused = false, false, false
 	request, connection, err := x.engineRequest(ctx, s.engine)
 	if err != nil {
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -24,6 +24,7 @@
 	DataCentre string `cbor:"4,keyasint,omitempty"`
 	Slots      int    `cbor:"5,keyasint,omitempty" json:"Places"` // number of requests that run concurrently
 	Leaving    bool   `cbor:"6,keyasint,omitempty"`               // shutting down; gets no new requests
+	Version    string `cbor:"7,keyasint,omitempty"`               // of the engine's software
 }
 
 // Request is a request that waits for a slot.
