Let streams go on only at the software version that began them

Cause: engines of a service counted as interchangeable for a stream that had begun. An instance continued it at any engine, and nothing recorded which version had begun a stream that a caller takes up elsewhere.

Change: entry instances record service and version of each stream before its first event is relayed, and report them to the allocator. The control instances share the records and save them, so that they survive a loss of all entry instances, of the allocator, and of all processes. A take-up asks all control instances; without a record it goes on only if all engines that can have begun it had one version. Requests carry the version to the placement, which waits for an engine of it and rejects them at once if there is none. A slot of another version, as an older allocator may grant it, is returned.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -15,6 +15,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/worker"
+	"github.com/primrosebeam/primrosebeam/origin"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/ring"
 )
@@ -44,7 +45,8 @@
 // Options configures an Allocator.
 type Options struct {
 	Caller     link.Caller
-	DataCentre string // grants are limited to it while this instance does not lead
+	DataCentre string                // grants are limited to it while this instance does not lead
+	OnBegun    func([]origin.Record) // called with the origins that entry instances report; must not block
 	Logger     zerolog.Logger
 	Metrics    *metrics.Set
 }
@@ -123,6 +125,9 @@
 	if err := link.Decode(body, update); err != nil {
 		return nil, err
 	}
+	if len(update.Begun) > 0 && a.options.OnBegun != nil {
+		a.options.OnBegun(update.Begun)
+	}
 	a.enqueue(event{from: from, update: update})
 	return nil, nil
 }
@@ -446,7 +451,7 @@
 		Deadline:           now + time.Duration(in.DeadlineMS)*time.Millisecond,
 		CallerTimeout:      time.Duration(in.CallerTimeoutMS) * time.Millisecond,
 		EventGap:           time.Duration(in.EventGapMS) * time.Millisecond, TokensPerEvent: in.TokensPerEvent,
-		Parts: in.Parts,
+		Parts: in.Parts, Version: in.Version,
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,7 @@
 	allocator            *allocator.Allocator
 	directory            *directory.Reader
 	hub                  *hub
+	origins              *origins
 	isLeader             atomic.Bool            // whether this instance is the leader
 	leader               atomic.Pointer[string] // last observed leader
 	configurationChanged chan struct{}          // signals that a new configuration was stored
@@ -76,8 +77,9 @@
 		return nil, err
 	}
 	c.link = node
+	c.origins = newOrigins(c)
 	c.allocator = allocator.New(allocator.Options{
-		Caller: node, DataCentre: s.DataCentre, Logger: o.Logger, Metrics: o.Metrics,
+		Caller: node, DataCentre: s.DataCentre, OnBegun: c.origins.add, Logger: o.Logger, Metrics: o.Metrics,
 	})
 	c.learned = newLearnedFile(s.DataFolder)
 	c.restoreLearned()
@@ -96,6 +98,8 @@
 	node.Handle(fleet.KindConfirm, c.handleConfirm)
 	node.Handle(fleet.KindSubmit, c.handleSubmit)
 	node.Handle(fleet.KindUpdate, c.allocator.HandleUpdate)
+	node.Handle(fleet.KindOrigin, c.origins.handleQuery)
+	node.Handle(fleet.KindOrigins, c.origins.handleRecords)
 	return c, nil
 }
 
@@ -171,6 +175,7 @@
 
 func (c *ControlInstance) enginesChanged(engines []placement.Engine) {
 	c.allocator.SetEngines(engines)
+	c.origins.enginesChanged(engines)
 	c.hub.notifyAttached()
 }
 
@@ -192,6 +197,8 @@
 	workers.Start("role", c.watchLeader)
 	workers.Start("configuration", c.watchConfiguration)
 	workers.Start("learned", c.saveLearned)
+	workers.Start("origins", c.origins.sendRecords)
+	workers.Start("origin file", c.origins.saveRecords)
 	workers.Start("operators", monitor.Serve(operatorServer))
 	workers.Start("metrics", monitor.Serve(metricsServer))
 	c.options.Logger.Info().Str("operators", operatorServer.Addr).Bool("firstStart", c.options.Settings.Bootstrap).Msg("control instance started")
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -254,6 +254,12 @@
 	}
 }
 
+func (c *controlClient) allControlInstances() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.controlInstances)
+}
+
 // allocators returns the control instances in the order in which they are asked for slots: the leader, then
 // those of the own data centre.
 func (c *controlClient) allocators() []string {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,6 +54,7 @@
 	notices        *placement.Notices
 	directory      *directory.Reader
 	retries        *retryBudget
+	origins        *origins
 	transport      *http.Transport
 	counters       *counters
 	configured     chan struct{} // closed when the first configuration is in force
@@ -84,7 +85,9 @@
 		Logger: o.Logger, Metrics: o.Metrics,
 	})
 	e.control = newControlClient(o, node, e.directory, e.tableInstalled)
+	e.origins = newOrigins(o, node, e.control, e.directory)
 	e.placer = newPlacer(o, node, e.control, e.notices, e.balancer, e.recordLeaving)
+	e.placer.origins = e.origins.records
 	e.retries = newRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow, e.entryCount)
 	node.Handle(fleet.KindChanged, e.control.HandleChanged)
 	node.Handle(fleet.KindDecisions, e.placer.HandleDecisions)
@@ -107,6 +110,7 @@
 }
 
 func (e *Edge) enginesChanged(engines []placement.Engine) {
+	e.origins.enginesChanged(engines)
 	engines = e.notices.Apply(clock(), engines)
 	e.balancer.SetEngines(engines)
 	e.placer.post(placerEvent{kind: eventEngines, engines: engines})
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -35,23 +35,27 @@
 	dueAt    time.Duration // time at which the response, or the first event of a stream, is due
 	deadline time.Duration // earlier of the caller's and the route's deadline
 
-	leaseLeft   time.Duration // remaining lease when the key was checked
-	sends       int           // engines that the request may have reached or that refused it
-	excluded    []string      // IDs of the engines that were tried
-	engine      string        // ID of the engine of the most recent send
-	version     string        // software version of that engine
-	sentAt      time.Duration // time of the most recent send
-	decision    slotDecision  // most recent decision about a slot
-	queueTime   time.Duration // total time spent waiting for slots
-	timeToFirst time.Duration // from the arrival to the first event or the complete response
-	eventsSent  int           // events relayed to the caller
-	lastEventAt time.Duration // time of the last event that was relayed
-	longestGap  time.Duration // longest pause between two events
-	lastEventID int           // ID of the last event relayed, 0 while there is none
-	retries     int           // engines to which the request was sent after the first one
-	headerSent  bool          // the header of the response was sent to the caller
-	status      int           // status of the response sent to the caller
-	cause       string        // cause of the most recent failed send
+	leaseLeft time.Duration // remaining lease when the key was checked
+	sends     int           // engines that the request may have reached or that refused it
+	excluded  []string      // IDs of the engines that were tried
+	engine    string        // ID of the engine of the most recent send
+	version   string        // software version of that engine
+	// pinnedVersion is the version that began the stream, the only one at which it may continue. Empty before the
+	// first event.
+	pinnedVersion string
+	takesUp       bool          // the request takes up a stream after an event that the caller has received
+	sentAt        time.Duration // time of the most recent send
+	decision      slotDecision  // most recent decision about a slot
+	queueTime     time.Duration // total time spent waiting for slots
+	timeToFirst   time.Duration // from the arrival to the first event or the complete response
+	eventsSent    int           // events relayed to the caller
+	lastEventAt   time.Duration // time of the last event that was relayed
+	longestGap    time.Duration // longest pause between two events
+	lastEventID   int           // ID of the last event relayed, 0 while there is none
+	retries       int           // engines to which the request was sent after the first one
+	headerSent    bool          // the header of the response was sent to the caller
+	status        int           // status of the response sent to the caller
+	cause         string        // cause of the most recent failed send
 	// connectionLost states whether the engine closed or reset the connection of the most recent send.
 	connectionLost bool
 	// Of the most recent send: the header of a response to it has arrived, or the engine refused a connection, also
@@ -114,6 +118,9 @@
 	if status, reason := x.readBody(); status != 0 {
 		return status, reason
 	}
+	if status, reason := x.findOrigin(); status != 0 {
+		return status, reason
+	}
 	x.setDeadline()
 	if x.edge.isCutBefore(x.latestUsualEnd()) {
 		return http.StatusServiceUnavailable, reasonStopping
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -15,6 +15,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/worker"
+	"github.com/primrosebeam/primrosebeam/origin"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/ring"
 )
@@ -66,6 +67,7 @@
 	until     time.Duration // end of the rest
 	limit     placement.RateLimit
 	lost      *placement.LostRequest // of eventLost
+	begun     origin.Record          // of eventBegun
 	response  fleet.Response
 	outcome   placement.Outcome
 	tokens    int
@@ -94,6 +96,7 @@
 	eventLost
 	eventUnreachable
 	eventResponse
+	eventBegun
 )
 
 // placer is the worker that acquires slots for this instance's requests. It asks the leader's allocator,
@@ -108,6 +111,7 @@
 	balancer         *placement.Balancer
 	blocked          *placement.BlockList
 	onLeaving        func(engine, source string) bool // must not block
+	origins          func() []origin.Record           // of all streams that began at this instance
 	logger           zerolog.Logger
 	events           *ring.Ring[placerEvent]
 	lastID           atomic.Uint64
@@ -147,6 +151,7 @@
 	p := &placer{
 		link: l, name: control.name, dataCentre: control.dataCentre, allocators: control.allocators,
 		notices: notices, balancer: balancer, blocked: &placement.BlockList{}, onLeaving: onLeaving,
+		origins:    func() []origin.Record { return nil },
 		entryCount: func() int { return int(control.entryCount.Load()) },
 		logger:     o.Logger,
 		events:     ring.New[placerEvent](eventCapacity),
@@ -177,6 +182,9 @@
 // FirstEvent reports that the first event of the response has arrived.
 func (p *placer) FirstEvent(t *ticket) { p.post(placerEvent{kind: eventFirstEvent, ticket: t}) }
 
+// Begun reports the origin of a stream whose first event has arrived.
+func (p *placer) Begun(r origin.Record) { p.post(placerEvent{kind: eventBegun, begun: r}) }
+
 // End reports that the request has ended and releases its slot.
 func (p *placer) End(t *ticket, outcome placement.Outcome, tokens int) {
 	p.post(placerEvent{kind: eventEnd, ticket: t, outcome: outcome, tokens: tokens})
@@ -306,6 +314,8 @@
 		}
 	case eventUnreachable:
 		p.recordUnreachable(now, e.engine)
+	case eventBegun:
+		p.pendingUpdate().Begun = append(p.pendingUpdate().Begun, e.begun)
 	case eventResponse:
 		p.pendingUpdate().Responses = append(p.pendingUpdate().Responses, e.response)
 		p.local.RecordResponse(now, e.response.Service, e.response.Parts)
@@ -515,7 +525,7 @@
 	pending := p.pendingUpdate()
 	u := &fleet.Update{
 		Full: true, Charges: pending.Charges, Losses: pending.Losses, Unreachable: pending.Unreachable, Responses: pending.Responses,
-		Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now),
+		Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now), Begun: p.origins(),
 	}
 	for engine, until := range p.notices.Rests(now) {
 		u.Rests = append(u.Rests, newFleetRest(now, engine, until))
@@ -559,6 +569,6 @@
 		DeadlineMS:           (r.Deadline - now).Milliseconds(),
 		CallerTimeoutMS:      r.CallerTimeout.Milliseconds(),
 		EventGapMS:           r.EventGap.Milliseconds(), TokensPerEvent: r.TokensPerEvent,
-		Parts: r.Parts,
+		Parts: r.Parts, Version: r.Version,
 	}
 }
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -28,7 +28,8 @@
 	reasonIncomplete      reason = "broken-off"
 	reasonTimeout         reason = "timeout"
 	reasonCallerLeft      reason = "caller-left"
-	reasonStopping        reason = "stopping" // this instance may stop before the end of the response
+	reasonUnknownOrigin   reason = "unknown-origin" // which version began the stream is not known
+	reasonStopping        reason = "stopping"       // this instance may stop before the end of the response
 )
 
 // counters holds the metrics of the requests.
@@ -92,7 +93,7 @@
 			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
 	if after := x.request.Header.Get(platform.HeaderLastEvent); after != "" {
-		event.Str("after", after).Str("resumes", x.request.Header.Get(platform.HeaderResumes))
+		event.Str("after", after).Str("resumes", x.request.Header.Get(platform.HeaderResumes)).Str("origin", x.pinnedVersion)
 	}
 	if x.cause != "" && why != reasonAnswered {
 		event.Str("cause", x.cause).Str("fingerprint", strconv.FormatUint(uint64(x.fingerprints()[0]), 16))
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -128,8 +128,8 @@
 const maxGrantAge = time.Second
 
 // acquireUsableSlot acquires a slot and checks, right before it is used, everything that may have changed since it
-// was granted, also while this process was paused: the age of the grant, notices of the engine, the time left and
-// the lease on the key. It returns false like acquireSlot.
+// was granted, also while this process was paused: the age of the grant, notices of the engine, its version, the time
+// left and the lease on the key. It returns false like acquireSlot.
 func (x *exchange) acquireUsableSlot(ctx context.Context) (slot, bool) {
 	for range maxUnsentGrants {
 		acquired, ok := x.acquireSlot(ctx)
@@ -138,7 +138,8 @@
 		}
 		now := clock()
 		why, retryAfter := x.checkPermissions(now)
-		if why == "" && now-acquired.acquiredAt <= maxGrantAge && x.edge.notices.MayUse(now, acquired.engine.ID) {
+		if why == "" && now-acquired.acquiredAt <= maxGrantAge && x.edge.notices.MayUse(now, acquired.engine.ID) &&
+			(x.pinnedVersion == "" || x.pinnedVersion == acquired.engine.Version) {
 			return acquired, true
 		}
 		acquired.end(placement.OutcomeUnused, 0)
@@ -283,11 +284,11 @@
 func (x *exchange) awaitEngine(ctx context.Context) (placement.Engine, placement.Reason) {
 	b, service := x.edge.balancer, x.service.Name
 	b.CountRequest(clock(), service)
-	engine, ok := b.Pick(clock(), service, x.excluded)
+	engine, ok := b.Pick(clock(), service, x.unusable())
 	if ok {
 		return engine, ""
 	}
-	if !b.NeedsPermit(clock(), service, x.excluded) {
+	if !b.NeedsPermit(clock(), service, x.unusable()) {
 		return engine, placement.ReasonNoEngine
 	}
 	start := clock()
@@ -298,7 +299,7 @@
 	x.edge.placer.PermitNeeded()
 	for {
 		changed := b.PermitsChanged()
-		if engine, ok = b.Pick(clock(), service, x.excluded); ok {
+		if engine, ok = b.Pick(clock(), service, x.unusable()); ok {
 			return engine, ""
 		}
 		select {
@@ -311,6 +312,15 @@
 	}
 }
 
+// unusable returns the IDs of the engines of a plain service that must not get the request: those that were tried, and
+// those of another version than the one that began the stream.
+func (x *exchange) unusable() []string {
+	if x.pinnedVersion == "" {
+		return x.excluded
+	}
+	return append(x.edge.balancer.OtherVersions(x.service.Name, x.pinnedVersion), x.excluded...)
+}
+
 func (x *exchange) tokenCount() int { return x.tokens.Prompt + x.tokens.MaxOutput }
 
 func (x *exchange) placementRequest() placement.Request {
@@ -320,8 +330,8 @@
 		MaxOutputTokens: x.tokens.MaxOutput, ArrivedAt: x.arrived, FirstEventDue: x.dueAt,
 		FirstEventDeadline: x.firstEventDeadline(), Deadline: x.deadline,
 		EventGap: x.route.EventGap, TokensPerEvent: x.service.Model.TokensPerEvent,
-		CallerTimeout: x.callerTimeout, ExcludedEngines: x.excluded, PartlyDelivered: x.headerSent,
-		Parts: x.parts,
+		CallerTimeout: x.callerTimeout, ExcludedEngines: x.excluded, PartlyDelivered: x.headerSent || x.takesUp,
+		Parts: x.parts, Version: x.pinnedVersion,
 	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -107,6 +107,7 @@
 		if !started {
 			started = true
 			s.firstEvent()
+			x.recordOrigin()
 			x.sendHeader(r)
 		}
 		if x.route.Resume && numbered {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/origin"
 	"github.com/primrosebeam/primrosebeam/placement"
 )
 
@@ -20,6 +21,8 @@
 	KindSubmit    link.Kind = "fleet.submit"     // call from a control instance to the leader
 	KindUpdate    link.Kind = "placement.update" // from an entry instance to the allocator
 	KindDecisions link.Kind = "placement.answer" // from the allocator to an entry instance
+	KindOrigin    link.Kind = "origin.query"     // call from an entry instance to a control instance
+	KindOrigins   link.Kind = "origin.records"   // between control instances
 )
 
 // Attach is sent periodically by entry instances and serves as their heartbeat.
@@ -129,6 +132,26 @@
 	Losses      []Loss     `cbor:"16,keyasint,omitempty"`
 	Unreachable []string   `cbor:"17,keyasint,omitempty"` // IDs of engines that accepted no connection
 	Responses   []Response `cbor:"18,keyasint,omitempty"` // to requests with a part of BlockList.Watched
+	// Begun holds the origins of the streams that began, or of all that are known in full updates.
+	Begun []origin.Record `cbor:"19,keyasint,omitempty"`
+}
+
+// OriginQuery asks for the origin of the stream that an attempt began.
+type OriginQuery struct {
+	Attempt origin.Attempt `cbor:"1,keyasint"` // 0 if the caller does not name it
+	Service string         `cbor:"2,keyasint"`
+}
+
+// OriginReply is the reply to OriginQuery.
+type OriginReply struct {
+	Known    bool              `cbor:"1,keyasint,omitempty"`
+	Origin   origin.Origin     `cbor:"2,keyasint,omitempty"`
+	Versions origin.VersionSet `cbor:"3,keyasint,omitempty"` // of the service; set if the origin is not known
+}
+
+// Origins carries the origins of streams to another control instance.
+type Origins struct {
+	Records []origin.Record `cbor:"1,keyasint"`
 }
 
 // Loss reports a request to an engine of a plain service whose connection was lost before a response. Ages are
@@ -203,7 +226,8 @@
 	TokensPerEvent       int      `cbor:"19,keyasint,omitempty"`
 	PartlyDelivered      bool     `cbor:"17,keyasint,omitempty"` // the caller has the first part of the response
 	// Parts are the parts of the prompt that other requests may share, and the fingerprints of the request.
-	Parts []placement.PartID `cbor:"20,keyasint,omitempty"`
+	Parts   []placement.PartID `cbor:"20,keyasint,omitempty"`
+	Version string             `cbor:"21,keyasint,omitempty"` // software version of the engines that may run it; empty if any may
 }
 
 // Run is a request that runs on an engine.
--- a/placement/core.go
+++ b/placement/core.go
@@ -195,6 +195,10 @@
 		c.reject(now, &trackedRequest{Request: r}, ReasonBlockedPart, left, 0)
 		return
 	}
+	if !s.hasVersion(r.Version) {
+		c.reject(now, &trackedRequest{Request: r}, ReasonNoVersion, retryAfter(noCapacityWait), noCapacityWait)
+		return
+	}
 	if wait, ok := c.spend(now, r.Workspace, r.Charge, c.hasIdleSlot(now, s)); !ok {
 		c.reject(now, &trackedRequest{Request: r}, ReasonQuota, wait, 0)
 		return
@@ -478,6 +482,9 @@
 // expire rejects the waiting requests that can no longer be served in time.
 func (c *Core) expire(now time.Duration, s *service) {
 	c.rejectWaiting(now, s, func(_ int, r *trackedRequest) (Reason, time.Duration) {
+		if !s.hasVersion(r.Version) {
+			return ReasonNoVersion, noCapacityWait
+		}
 		if s.restEnd(now, r)+c.latency.minTimeToFirstEvent(r) <= min(r.FirstEventDeadline, r.Deadline) {
 			return "", 0
 		}
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -49,6 +49,7 @@
 	EventGap             time.Duration // longest pause between events with which a response is on time; 0 if unknown
 	TokensPerEvent       int           // number of output tokens of an event; 0 if unknown
 	PartlyDelivered      bool          // the caller has received the first part of the response
+	Version              string        // software version of the engines that may run it; empty if any may
 	// Parts are the parts of the prompt that other requests may share. Their number is bounded by the owner.
 	Parts []PartID
 }
@@ -69,8 +70,10 @@
 	ReasonDeadline Reason = "deadline"  // the request can no longer be served in time
 	ReasonOverload Reason = "overload"  // too much work of more valuable requests is queued ahead of it
 	ReasonNoEngine Reason = "no-engine" // no engine of the service may run it
-	ReasonQuota    Reason = "quota"     // its workspace has used up its quota
-	ReasonRate     Reason = "rate"      // the engines of the service that could run it state rate limits
+	// ReasonNoVersion means that no engine of the software version that began the stream is listed.
+	ReasonNoVersion Reason = "no-version"
+	ReasonQuota     Reason = "quota" // its workspace has used up its quota
+	ReasonRate      Reason = "rate"  // the engines of the service that could run it state rate limits
 	// ReasonBlockedPart means that the request, or a part of its prompt, has crashed several engines.
 	ReasonBlockedPart Reason = "blocked-part"
 )
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,9 @@
 package routing
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Table is the index of a valid document. It is immutable.
 type Table struct {
@@ -135,6 +138,11 @@
 // Authenticates reports whether requests need a key. They need none while no workspace is configured.
 func (t *Table) Authenticates() bool { return len(t.workspaces) > 0 }
 
+// HasTarget reports whether requests of the route may be sent to a service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // Pick returns the service for a request in proportion to the weights of the targets. u is a random number
 // from 0 to 1.
 func (r *Route) Pick(u float64) string {
