Notice that the first decisions after a start were lost

Cause: the allocator sends its first decisions to a restarted instance on the connection to its former process, where they are lost. A gap in the numbers was not noticed before a first message had arrived, so the instance never learned of up to 156 grants, and a withdrawal does not end a granted run: all slots stayed taken until their deadlines. Shown by a trial on a scratch copy that logged the slots of the allocator.

Change: the first message must have number 1, else the instance sends a full update, which returns or frees the grants.

Measured: TestLossOfFirstDecisionsIsNoticed failed before.

--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -388,7 +388,7 @@
 		return
 	}
 	delete(p.backoffs, from)
-	if decisions.FullUpdateNeeded || p.lastReply != 0 && decisions.Sequence != p.lastReply+1 {
+	if decisions.FullUpdateNeeded || decisions.Sequence != p.lastReply+1 {
 		p.needsFullUpdate = true
 	}
 	p.lastReply = decisions.Sequence
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -252,3 +252,19 @@
 	}
 	is.Equal(p.blocked.BlockedFor(now, "s", []placement.PartID{sound}), time.Duration(0))
 }
+
+// Guards against slots that leak because the first decisions after a start, with grants, were lost on a connection to
+// the former process.
+func TestLossOfFirstDecisionsIsNoticed(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t, "first")
+	_, err := p.Submit(placement.Request{Service: "s", Deadline: time.Hour, FirstEventDeadline: time.Hour})
+	is.NoErr(err)
+	p.step(0)
+	is.True(out.last("first").Full)
+	p.post(placerEvent{kind: eventDecisions, from: "first", decisions: &fleet.Decisions{Sequence: 2, LastUpdate: 1}})
+	p.step(time.Millisecond)
+	is.Equal(len(out.sent["first"]), 2)
+	is.True(out.last("first").Full)
+	is.Equal(len(out.last("first").Arrivals), 1)
+}
