--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -118,10 +118,10 @@
 	if status, reason := x.readBody(); status != 0 {
 		return status, reason
 	}
+	x.setDeadline()
 	if status, reason := x.findOrigin(); status != 0 {
 		return status, reason
 	}
-	x.setDeadline()
 	if x.edge.isCutBefore(x.latestUsualEnd()) {
 		return http.StatusServiceUnavailable, reasonStopping
 	}
