--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,7 +71,7 @@
 func New(o Options) (*Edge, error) {
 	s := o.Settings
 	e := &Edge{
-		options: o, notices: placement.NewNotices(), transport: newTransport(),
+		options: o, notices: placement.NewNotices(), transport: newTransport(newEngineDialer(o)),
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
 	e.balancer = placement.NewBalancer(s.DataCentre, e.notices)
--- a/internal/edge/response_test.go
+++ b/internal/edge/response_test.go
@@ -67,7 +67,7 @@
 	t.Helper()
 	p, _ := newTestPlacer(t, "allocator")
 	e := &Edge{
-		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p, transport: newTransport(),
+		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p, transport: newTransport(newEngineDialer(Options{Logger: zerolog.Nop(), Metrics: metrics.NewSet()})),
 		counters: newCounters(metrics.NewSet()), started: clock(),
 		retries: newRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
 	}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -411,14 +411,7 @@
 	maxIdlePerEngine = 64
 )
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: unackedTimeout / 2, Interval: unackedTimeout / 4, Count: 2,
-		},
-		Control: setUserTimeout,
-	}
+func newTransport(dialer *engineDialer) *http.Transport {
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -17,6 +19,8 @@
 	SharedKey []byte
 	Logger    zerolog.Logger
 	Metrics   *metrics.Set
+	// DialEngine replaces the way in which an entry instance opens connections to engines, in tests; nil otherwise.
+	DialEngine func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewLink creates the link node of the process, which connects it to the other instances. The name of an
