Reach engines through control instances while an instance's own links are cut

Cause: an instance has one path to an engine, its own connection, and accepts requests while no engine can be reached on it; everything else (callers, control instances, lease, readiness) works.

Change: control instances relay connections to listed engines. An instance whose direct dial fails, or takes over 100 ms, dials through a relay in addition; after four direct failures in a row it dials both at once, so that it also notices the end of the cut, and closes its idle connections. Bytes from the engine travel in frames with an end, so that the loss of the relay does not look like the end of a response. Tunnels need the shared key and lead to listed engines only.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/consensus"
 	"github.com/primrosebeam/primrosebeam/internal/allocator"
 	"github.com/primrosebeam/primrosebeam/internal/directory"
+	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/monitor"
@@ -197,6 +199,10 @@
 	workers.Start("role", c.watchLeader)
 	workers.Start("configuration", c.watchConfiguration)
 	workers.Start("learned", c.saveLearned)
+	workers.Start("relay", enginelink.NewRelay(enginelink.RelayOptions{
+		Listen: c.options.Settings.Relay, SharedKey: c.options.SharedKey, IsEngine: c.isEngine,
+		Logger: c.options.Logger, Metrics: c.options.Metrics,
+	}).Run)
 	workers.Start("origins", c.origins.sendRecords)
 	workers.Start("origin file", c.origins.saveRecords)
 	workers.Start("operators", monitor.Serve(operatorServer))
@@ -211,6 +217,11 @@
 	return err
 }
 
+// isEngine reports whether an address is that of a listed engine.
+func (c *ControlInstance) isEngine(address string) bool {
+	return slices.ContainsFunc(c.directory.State().Engines, func(e placement.Engine) bool { return e.Address == address })
+}
+
 // watchLeader polls the leadership and informs the allocator and the entry instances of a change. It also
 // passes the known control instances to the replica.
 func (c *ControlInstance) watchLeader(ctx context.Context) error {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"github.com/primrosebeam/primrosebeam/internal/directory"
 	"github.com/primrosebeam/primrosebeam/internal/drain"
+	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
 	"github.com/primrosebeam/primrosebeam/internal/monitor"
@@ -71,9 +72,13 @@
 func New(o Options) (*Edge, error) {
 	s := o.Settings
 	e := &Edge{
-		options: o, notices: placement.NewNotices(), transport: newTransport(newEngineDialer(o)),
+		options: o, notices: placement.NewNotices(),
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
+	e.transport = newTransport(enginelink.NewDialer(enginelink.DialerOptions{
+		Direct: o.DialEngine, Relays: e.relays, SharedKey: o.SharedKey, Logger: o.Logger, Metrics: o.Metrics,
+		OnIsolated: func() { e.transport.CloseIdleConnections() }, // they hang
+	}))
 	e.balancer = placement.NewBalancer(s.DataCentre, e.notices)
 	node, err := o.NewLink(maxFrameBytes)
 	if err != nil {
@@ -96,6 +101,17 @@
 
 func (e *Edge) entryCount() int { return int(e.control.entryCount.Load()) }
 
+// relays returns the addresses at which control instances relay connections to engines.
+func (e *Edge) relays() []string {
+	var addresses []string
+	for _, name := range e.control.allControlInstances() {
+		if address := e.options.Settings.RelayAddress(name); address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 func (e *Edge) random() float64 { return rand.Float64() }
 
 // recordLeaving records that an engine has stated that it is leaving. source is the instance that reported
--- a/internal/edge/response_test.go
+++ b/internal/edge/response_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/routing"
@@ -67,7 +68,9 @@
 	t.Helper()
 	p, _ := newTestPlacer(t, "allocator")
 	e := &Edge{
-		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p, transport: newTransport(newEngineDialer(Options{Logger: zerolog.Nop(), Metrics: metrics.NewSet()})),
+		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p, transport: newTransport(enginelink.NewDialer(enginelink.DialerOptions{
+			Relays: func() []string { return nil }, OnIsolated: func() {}, Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+		})),
 		counters: newCounters(metrics.NewSet()), started: clock(),
 		retries: newRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
 	}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 )
@@ -398,12 +399,8 @@
 
 func (w *watchdog) fired() bool { return w.expired.Load() }
 
-// Timeouts and limits of the connections to engines.
+// Limits of the idle connections to engines.
 const (
-	// dialTimeout is how long an engine may take to accept a connection. It usually takes 3 ms.
-	dialTimeout = 300 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection is closed.
-	unackedTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection is kept. Engines close idle connections after 10 s; four
 	// fifths of that make it rare that a request is sent on a connection that the engine is closing.
 	idleTimeout = 8 * time.Second
@@ -411,7 +408,7 @@
 	maxIdlePerEngine = 64
 )
 
-func newTransport(dialer *engineDialer) *http.Transport {
+func newTransport(dialer *enginelink.Dialer) *http.Transport {
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
