Do not take the copy of an earlier refusal for that of the next request

Cause: a refusal without the ID of an attempt counted as that of the request in progress. On a kept connection it may be the copy of an earlier one. Refusals with an ID were compared with it already.

Change: a refusal without an ID counts only on a connection that has carried no other request; else the request may have run.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -67,7 +67,7 @@
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
 	}
-	if result, done := x.checkResponse(response, s.engine); done {
+	if result, done := x.checkResponse(response, s.engine, connection.reused.Load()); done {
 		if echoed := response.Header.Get(platform.HeaderAttempt); echoed != x.id {
 			// The response to this request may still arrive, where the next one would be expected.
 			connection.close()
@@ -126,7 +126,10 @@
 }
 
 // engineConnection is the connection on which a request is sent to an engine.
-type engineConnection struct{ current atomic.Pointer[net.Conn] }
+type engineConnection struct {
+	current atomic.Pointer[net.Conn]
+	reused  atomic.Bool // it has carried other requests before
+}
 
 // established reports whether there is a connection, so that a byte of the request may have been sent.
 func (c *engineConnection) established() bool { return c.current.Load() != nil }
@@ -142,7 +145,10 @@
 func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, *engineConnection, error) {
 	connection := &engineConnection{}
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connection.current.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connection.current.Store(&info.Conn)
+			connection.reused.Store(info.Reused)
+		},
 	}
 	in := x.request
 	target := &url.URL{Scheme: "http", Host: engine.Address, Opaque: in.URL.RequestURI()}
@@ -213,11 +219,12 @@
 // checkResponse handles responses that must not be relayed: the engine's refusal to run the request, a
 // response to another request, an encoded body, a success without an engine's signature, and a failure that
 // another engine may avoid. done reports whether the send ends with result; otherwise the response is
-// relayed.
-func (x *exchange) checkResponse(r *http.Response, engine placement.Engine) (result sendResult, done bool) {
+// relayed. A refusal that names no attempt counts only on a new connection: on one that was used before it may be the
+// copy of an earlier one.
+func (x *exchange) checkResponse(r *http.Response, engine placement.Engine, reused bool) (result sendResult, done bool) {
 	echoed := r.Header.Get(platform.HeaderAttempt)
 	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(platform.HeaderNotExecuted) != "" {
-		if echoed != "" && echoed != x.id {
+		if echoed != x.id && echoed != "" || echoed == "" && reused {
 			x.sends++
 			return x.discard(engine, "answer to another request"), true
 		}
