Continue a stream only with numbered events

Cause: what the next engine sent was checked by its status, its signature and the number of its events. A signed response with status 200 whose body is an error has an event without a number, which was relayed, and its end was taken for that of the stream.

Change: what continues a stream must begin with the next number, also where the caller takes it up.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -119,10 +119,11 @@
 	if !x.isStream() {
 		return 0, ""
 	}
-	attempt, takesUp := platform.ParseTakeUp(x.request.Header)
+	attempt, after, takesUp := platform.ParseTakeUp(x.request.Header)
 	if !takesUp {
 		return 0, ""
 	}
+	x.lastEventID = after
 	found, known := x.edge.origins.find(x.request.Context(), attempt, x.service.Name)
 	if !known || !x.route.HasTarget(found.Service) {
 		return http.StatusServiceUnavailable, reasonUnknownOrigin
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -98,7 +98,10 @@
 			return x.classifyStreamError(watch, err)
 		}
 		id, numbered := eventID(event)
-		if numbered && x.lastEventID != 0 && id != x.lastEventID+1 {
+		// What continues a stream begins with the next number. An event without one is an error that the engine
+		// reports in place of it.
+		continues := !started && x.lastEventID != 0
+		if continues && !numbered || numbered && x.lastEventID != 0 && id != x.lastEventID+1 {
 			x.edge.options.Logger.Warn().Str("id", x.id).Str("engine", s.engine.ID).
 				Int("event", id).Int("expected", x.lastEventID+1).Msg("stream out of order")
 			x.cause = "the stream went on with another event"
