Send brittle engines no more requests than they have room for

Engines of plain services are chosen by each instance for itself, so that a burst fills their queues, and a refused request goes to the next full engine.

Change: while a service is brittle the instances share the slots of its plain engines equally, and requests wait for room as they do for a permit. An engine that has turned one away gets no request for a second, also from the allocator, and instances without an allocator use no more than their equal share.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,6 +80,7 @@
 		OnIsolated: func() { e.transport.CloseIdleConnections() }, // they hang
 	}))
 	e.balancer = placement.NewBalancer(s.DataCentre, e.notices)
+	e.balancer.ShareAmong(e.entryCount)
 	node, err := o.NewLink(maxFrameBytes)
 	if err != nil {
 		return nil, err
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -31,7 +31,11 @@
 func (p *placer) setLocalEngines() {
 	share := make([]placement.Engine, len(p.engines))
 	for i, e := range p.engines {
-		e.Slots = max(1, localShareFactor*e.Slots/p.entryCount())
+		factor := localShareFactor
+		if p.notices.IsBrittle(clock(), e.Service) {
+			factor = 1
+		}
+		e.Slots = max(1, factor*e.Slots/p.entryCount())
 		share[i] = e
 	}
 	p.local.SetEngines(share)
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -40,6 +40,7 @@
 	leavingNotices   *metrics.Counter
 	rests            *metrics.Counter
 	rateLimits       *metrics.Counter
+	brittle          *metrics.Counter
 	unsentGrants     *metrics.Counter
 	firstEvent       *metrics.Histogram
 	queue            *metrics.Histogram
@@ -54,6 +55,7 @@
 		leavingNotices:   set.NewCounter("primrosebeam_engine_leaving_notices_total"),
 		rests:            set.NewCounter("primrosebeam_engine_rests_total"),
 		rateLimits:       set.NewCounter("primrosebeam_engine_rate_limits_total"),
+		brittle:          set.NewCounter("primrosebeam_engine_brittle_changes_total"),
 		unsentGrants:     set.NewCounter("primrosebeam_unsent_grants_total"),
 		firstEvent:       set.NewHistogram("primrosebeam_first_event_seconds"),
 		queue:            set.NewHistogram("primrosebeam_queue_seconds"),
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -64,6 +64,9 @@
 	case resultUnreachable:
 		return placement.OutcomeUnreachable
 	case resultRefused:
+		if x.edge.notices.IsBrittle(clock(), x.service.Name) {
+			return placement.OutcomeBrittleRefused
+		}
 		return placement.OutcomeRefused
 	case resultCallerLeft, resultDeadline:
 		return placement.OutcomeCancelled
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -92,6 +92,7 @@
 		x.edge.placer.Leaving(engine.ID)
 	}
 	x.recordRateLimit(r, engine)
+	x.recordBrittle(r, engine)
 	if r.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
@@ -125,6 +126,21 @@
 		Bool("stated", stated).Msg("engine states a rate limit")
 }
 
+// recordBrittle records whether the engine states that it is brittle. Only a signed response to this request without
+// the statement shows that it is not.
+func (x *exchange) recordBrittle(r *http.Response, engine placement.Engine) {
+	stated := platform.IsBrittle(r.Header)
+	if !stated && (r.Header.Get(platform.HeaderSignature) == "" || r.Header.Get(platform.HeaderAttempt) != x.id) {
+		return
+	}
+	if !x.edge.notices.RecordBrittle(clock(), engine.Service, stated) {
+		return
+	}
+	x.edge.counters.brittle.Inc()
+	x.edge.options.Logger.Info().Str("id", x.id).Str("engine", engine.ID).Str("service", engine.Service).
+		Str("turnedAway", r.Header.Get(platform.HeaderBrittle)).Bool("stated", stated).Msg("engines state that they are brittle")
+}
+
 // engineConnection is the connection on which a request is sent to an engine.
 type engineConnection struct {
 	current atomic.Pointer[net.Conn]
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -19,6 +19,7 @@
 	permits    permitState
 	paceTTL    time.Duration // paceTTL, or another value in tests
 	paceWeight float64       // paceWeight, or another value in tests
+	instances  func() int    // number of instances that send requests to the engines
 }
 
 // backend is the state of an engine as seen by this instance.
@@ -29,8 +30,9 @@
 	pace           float64       // duration of work relative to the usual one, as last reported; 0 if never
 	reportedAt     time.Duration // time of that report
 	suspendedUntil time.Duration
-	failureRate    float64 // decaying fraction of failed requests
-	probation      bool    // after a rest: one request at a time until the engine responds
+	failureRate    float64       // decaying fraction of failed requests
+	fullUntil      time.Duration // a brittle engine that had no room gets no request before
+	probation      bool          // after a rest: one request at a time until the engine responds
 	// permits holds until when each permit for a request to an engine with a rate limit may be used.
 	permits []time.Duration
 }
@@ -59,7 +61,7 @@
 func NewBalancer(dataCentre string, notices *Notices) *Balancer {
 	return &Balancer{
 		dataCentre: dataCentre, engines: map[string][]*backend{}, byID: map[string]*backend{}, notices: notices,
-		permits: newPermitState(), paceTTL: paceTTL, paceWeight: paceWeight,
+		permits: newPermitState(), paceTTL: paceTTL, paceWeight: paceWeight, instances: func() int { return 1 },
 	}
 }
 
@@ -130,8 +132,12 @@
 	return best
 }
 
-// mayUse reports whether an engine may get a request as far as its notices and its probation are concerned.
+// mayUse reports whether an engine may get a request as far as its notices, its probation and its room are concerned.
 func (b *Balancer) mayUse(now time.Duration, e *backend, excluded []string) bool {
+	return b.mayUseIgnoringRoom(now, e, excluded) && b.hasRoom(now, e)
+}
+
+func (b *Balancer) mayUseIgnoringRoom(now time.Duration, e *backend, excluded []string) bool {
 	return !e.Leaving && !slices.Contains(excluded, e.ID) && b.notices.MayUse(now, e.ID) && !(e.probation && e.inFlight > 0)
 }
 
@@ -163,6 +169,9 @@
 		return
 	}
 	e.inFlight = max(e.inFlight-1, 0)
+	if b.notices.IsBrittle(now, e.Service) {
+		b.permits.wake() // a request may wait for the room
+	}
 	switch outcome {
 	case OutcomeCompleted:
 		e.probation = false
@@ -177,6 +186,8 @@
 		e.suspendedUntil = now + unreachablePause
 	case OutcomeRefused:
 		e.suspendedUntil = now + refusedPause
+	case OutcomeBrittleRefused:
+		e.fullUntil = now + brittlePause
 	case OutcomeCancelled, OutcomeUnused:
 	}
 }
--- a/placement/balancer_permits.go
+++ b/placement/balancer_permits.go
@@ -94,11 +94,14 @@
 }
 
 // NeedsPermit reports whether Pick finds no engine of a service because those that could be used state rate limits
-// and this instance has no permit.
+// and this instance has no permit, or because they are brittle and its share of their slots is used.
 func (b *Balancer) NeedsPermit(now time.Duration, service string, excluded []string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range b.engines[service] {
+		if b.mayUseIgnoringRoom(now, e, excluded) && !b.hasRoom(now, e) {
+			return true
+		}
 		if _, limited := b.notices.RateLimit(e.ID); limited && b.mayUse(now, e, excluded) {
 			return true
 		}
--- a/placement/core.go
+++ b/placement/core.go
@@ -341,6 +341,9 @@
 	case OutcomeRefused:
 		c.refund(r.Workspace, r.Charge)
 		e.recordRefusal(now)
+	case OutcomeBrittleRefused:
+		c.refund(r.Workspace, r.Charge)
+		e.suspend(now, brittlePause)
 	case OutcomeFailed, OutcomeConnectionLost:
 		s := c.service(e.Service)
 		e.recordFailure(now, s.maySuspend(now), s.mayThrottle(now))
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -103,9 +103,11 @@
 	OutcomeUnused                     // the grant arrived too late to be used
 	// OutcomeConnectionLost is OutcomeFailed because the engine closed or reset the connection.
 	OutcomeConnectionLost
+	// OutcomeBrittleRefused is OutcomeRefused by an engine that falls over if it turns away more requests.
+	OutcomeBrittleRefused
 )
 
-var outcomeNames = [...]string{"answered", "cancelled", "refused", "failed", "unreached", "unused", "lost"}
+var outcomeNames = [...]string{"answered", "cancelled", "refused", "failed", "unreached", "unused", "lost", "refused-brittle"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -26,11 +26,12 @@
 	leaving map[string]time.Duration // time of the notice by engine ID
 	rests   map[string]time.Duration // end of the rest by engine ID
 	limits  *rateLimits
+	brittle map[string]time.Duration // until when the engines of a service count as brittle
 }
 
 // NewNotices returns Notices without an entry.
 func NewNotices() *Notices {
-	return &Notices{leaving: map[string]time.Duration{}, rests: map[string]time.Duration{}, limits: newRateLimits()}
+	return &Notices{leaving: map[string]time.Duration{}, rests: map[string]time.Duration{}, limits: newRateLimits(), brittle: map[string]time.Duration{}}
 }
 
 // RecordLeaving records that an engine is leaving. It reports whether that was not known before.
