Count losses that are reported after their engine has left the list

A report that came after the engine had vanished from the list was ignored, so the crash was attributed to the sound requests alone whose losses had come in time.

Change: an engine that vanishes without notice is remembered for the crash window with the runs that its crash was recorded with. A late loss counts; if it lets block a request, the blocks of the others from the same crash become short.

--- a/placement/core.go
+++ b/placement/core.go
@@ -26,6 +26,8 @@
 	permitCount  uint64 // permits granted so far
 	// learnedSlowness holds what was taken over about engines that are not listed yet.
 	learnedSlowness map[string]LearnedEngine
+	// vanished holds the engines that left the list within crashWindow and had not stated that they would, by ID.
+	vanished map[string]vanishedEngine
 	// scope is the data centre to which grants are limited; empty means that all engines are used.
 	scope string
 
@@ -87,6 +89,7 @@
 		latency:    newLatencyModel(),
 
 		permitOwners: map[string]*permitOwner{},
+		vanished:     map[string]vanishedEngine{},
 	}
 }
 
@@ -120,8 +123,9 @@
 		switch {
 		case seen[id]:
 		case len(e.runs) == 0:
-			if !e.Leaving {
-				c.recordCrash(c.decidedAt, e) // it has vanished without notice
+			if !e.Leaving { // it has vanished without notice
+				c.vanished[id] = vanishedEngine{service: e.Service, at: c.decidedAt, runs: e.losses.unstarted}
+				c.recordCrash(c.decidedAt, e)
 			}
 			delete(c.engines, id)
 		default:
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -66,14 +67,31 @@
 		return
 	}
 	s := c.service(e.Service)
+	c.forgetVanished(now)
 	runs := slices.DeleteFunc(lost.unstarted, func(run lostRun) bool { return now-run.lostAt > crashWindow })
-	s.suspects.recordCrash(now, e.ID, runs, c.countsSince != 0 && now-c.countsSince < completeAfter)
+	s.suspects.recordCrash(now, e.ID, runs, c.isIncomplete(now))
 	known := e.crashedAt != 0 && now-e.crashedAt <= crashWindow // the rest of the runs of the same crash
 	if e.crashedAt = now; !known && len(c.crashes) < maxHealthChanges {
 		c.crashes = append(c.crashes, Crash{Engine: e.ID, Service: e.Service, Lost: lost.count, Unstarted: len(lost.unstarted)})
 	}
 }
 
+// isIncomplete reports whether crashes and responses that matter now may have been reported to another core.
+func (c *Core) isIncomplete(now time.Duration) bool {
+	return c.countsSince != 0 && now-c.countsSince < completeAfter
+}
+
+// vanishedEngine is an engine that has left the list without notice.
+type vanishedEngine struct {
+	service string
+	at      time.Duration
+	runs    []lostRun // that its crash was recorded with
+}
+
+func (c *Core) forgetVanished(now time.Duration) {
+	maps.DeleteFunc(c.vanished, func(_ string, e vanishedEngine) bool { return now-e.at > crashWindow })
+}
+
 // LostRequest is a request to an engine of a plain service whose connection was lost before a response.
 type LostRequest struct {
 	Engine string
@@ -85,11 +103,16 @@
 // RecordLostRequest records the loss of a request that an instance sent without a grant. The loss and the unreachable
 // engine that shows its crash may be reported by different instances, in any order.
 func (c *Core) RecordLostRequest(now time.Duration, lost *LostRequest) {
+	run := lostRun{parts: lost.Parts, grantedAt: lost.SentAt, lostAt: lost.LostAt}
 	e := c.engines[lost.Engine]
 	if e == nil {
+		c.forgetVanished(now)
+		if gone, known := c.vanished[lost.Engine]; known && now-run.lostAt <= crashWindow {
+			c.service(gone.service).suspects.recordLateLoss(now, lost.Engine, &run, gone.runs, c.isIncomplete(now))
+		}
 		return
 	}
-	e.recordLoss(now, lostRun{parts: lost.Parts, grantedAt: lost.SentAt, lostAt: lost.LostAt}, true)
+	e.recordLoss(now, run, true)
 	if e.unreachableAt != 0 && now-e.unreachableAt <= crashWindow {
 		c.recordCrash(now, e)
 	}
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -299,3 +299,22 @@
 		})
 	}
 }
+
+// TestLateLossCountsForVanishedEngine guards against a crash that is attributed to sound requests only, because the loss
+// of the request at fault was reported after its engine had left the list.
+func TestLateLossCountsForVanishedEngine(t *testing.T) {
+	is := is.New(t)
+	p := newPlainCrashes()
+	for i, engine := range []string{"e0", "e1", "e2"} {
+		sent := p.now
+		p.lose(engine, otherRequest)
+		lost := p.now
+		p.core.Decide(p.now)
+		p.core.SetEngines([]Engine{testEngine("e3", 4), testEngine("e2", 4), testEngine("e1", 4)}[:3-i])
+		p.now += time.Second
+		p.core.RecordLostRequest(p.now, &LostRequest{Engine: engine, Parts: []PartID{repeatedRequest}, SentAt: sent, LostAt: lost})
+	}
+	is.True(p.isBlocked(repeatedRequest))
+	p.now += ambiguousBlock // either may be at fault
+	is.True(!p.isBlocked(otherRequest))
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -135,14 +135,15 @@
 }
 
 // recordCrash records that an engine crashed before it responded to some runs. Each part counts once, however many of
-// the runs had it. incomplete states that other crashes and responses may have been reported to another core.
-func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun, incomplete bool) {
+// the runs had it. incomplete states that other crashes and responses may have been reported to another core. It reports
+// whether the crash lets block any part.
+func (t *suspects) recordCrash(now time.Duration, engine string, runs []lostRun, incomplete bool) (blocks bool) {
 	explained := false
 	for i := range runs {
 		explained = t.refine(now, runs[i].parts) || explained
 	}
 	if explained {
-		return // a blocked request crashed the engine while the others happened to run there
+		return false // a blocked request crashed the engine while the others happened to run there
 	}
 	if slices.ContainsFunc(runs, t.wasBlocked) {
 		runs = slices.DeleteFunc(slices.Clone(runs), func(run lostRun) bool { return !t.wasBlocked(run) })
@@ -164,6 +165,25 @@
 			t.block(now, part, parts, ambiguous)
 		}
 	}
+	return len(blocked) > 0
+}
+
+// recordLateLoss records one more run that an engine had when it crashed, after the crash was recorded with the other
+// runs. If it lets block a part, it is not certain any more that one of the others was at fault.
+func (t *suspects) recordLateLoss(now time.Duration, engine string, run *lostRun, others []lostRun, incomplete bool) {
+	if !t.recordCrash(now, engine, []lostRun{*run}, incomplete) {
+		return
+	}
+	for i := range others {
+		for _, part := range others[i].parts {
+			s := t.parts[part]
+			if s == nil || slices.Contains(run.parts, part) || s.blockedUntil <= now+ambiguousBlock || !s.crashedAt(run.lostAt, engine) {
+				continue
+			}
+			s.blockedUntil, s.blockTime = now+ambiguousBlock, 0
+			t.changes = append(t.changes, PartChange{Part: part, Blocked: true, Crashes: s.crashes})
+		}
+	}
 }
 
 // wasBlocked reports whether a run has a part that was blocked and has had no response since.
