Tell a new allocator that it is not the first one

Change: full updates state whether an allocator, or the instance itself, has decided about its requests before.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -324,7 +324,7 @@
 			// Later ones may lack a change that this allocator has made.
 			o.reported = true
 			a.core.AdoptBlockedParts(now, u.Blocked)
-			if len(u.Runs) > 0 {
+			if u.Served || len(u.Runs) > 0 {
 				a.core.CountFrom(now) // another allocator has served this instance
 			}
 		}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -412,3 +412,34 @@
 	is.True(blocked != nil)
 	is.Equal(len(blocked.Parts), 0)
 }
+
+// TestAllocatorKnowsThatItIsNew guards against a sound request that is blocked for minutes by an allocator that another
+// one preceded, if no instance that reports to it has a running request.
+func TestAllocatorKnowsThatItIsNew(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		served bool
+		long   bool
+	}{
+		{"first allocator", false, true},
+		{"another one before", true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			a, _ := newTestAllocator(1)
+			a.core.SetEngines([]placement.Engine{{ID: "e0", Service: "s", Slots: 1}, {ID: "e1", Service: "s", Slots: 1}, {ID: "e2", Service: "s", Slots: 1}})
+			now := time.Second
+			a.deliver(now, sender("edge", 1), fleet.Update{Sequence: 1, Full: true, Served: test.served})
+			for i, engine := range []string{"e0", "e1", "e2"} {
+				now += 100 * time.Millisecond
+				a.deliver(now, sender("edge", 1), fleet.Update{
+					Sequence: uint64(2 + i), Losses: []fleet.Loss{{Engine: engine, Parts: []placement.PartID{7}, SentAgeMS: 50}},
+					Unreachable: []string{engine},
+				})
+			}
+			blocked := a.core.BlockedParts(now)
+			is.Equal(len(blocked), 1)
+			is.Equal(blocked[0].LeftMS > time.Minute.Milliseconds(), test.long)
+		})
+	}
+}
--- a/internal/edge/local.go
+++ b/internal/edge/local.go
@@ -81,6 +81,7 @@
 	if p.allocator() != "" {
 		return
 	}
+	p.served = true
 	p.blockLocally(now)
 	p.local.SetPermitDemand("", p.dataCentre, p.balancer.PermitDemand(now))
 	for _, permit := range p.local.GrantPermits(now) {
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -124,6 +124,7 @@
 
 	lastSent        uint64        // sequence number of the last update sent
 	lastReply       uint64        // sequence number of the last reply
+	served          bool          // an allocator, or this instance, has decided about requests
 	unansweredSince time.Duration // time from which a reply is awaited, 0 if none is
 	sentAt          time.Duration // time of the last update
 	backoffs        map[string]backoff
@@ -388,6 +389,7 @@
 		return
 	}
 	delete(p.backoffs, from)
+	p.served = true
 	if decisions.FullUpdateNeeded || decisions.Sequence != p.lastReply+1 {
 		p.needsFullUpdate = true
 	}
@@ -524,7 +526,7 @@
 func (p *placer) fullUpdate(now time.Duration) *fleet.Update {
 	pending := p.pendingUpdate()
 	u := &fleet.Update{
-		Full: true, Charges: pending.Charges, Losses: pending.Losses, Unreachable: pending.Unreachable, Responses: pending.Responses,
+		Full: true, Served: p.served, Charges: pending.Charges, Losses: pending.Losses, Unreachable: pending.Unreachable, Responses: pending.Responses,
 		Leaving: p.notices.Leaving(), Blocked: p.blocked.List(now), Begun: p.origins(),
 	}
 	for engine, until := range p.notices.Rests(now) {
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -268,3 +268,18 @@
 	is.True(out.last("first").Full)
 	is.Equal(len(out.last("first").Arrivals), 1)
 }
+
+// TestFullUpdateTellsOfFormerAllocator guards against an allocator that takes itself for the first one, also where it is
+// the same control instance after a restart.
+func TestFullUpdateTellsOfFormerAllocator(t *testing.T) {
+	is := is.New(t)
+	p, out := newTestPlacer(t, "first")
+	p.step(0)
+	is.True(!out.last("first").Served)
+	p.post(placerEvent{kind: eventDecisions, from: "first", decisions: &fleet.Decisions{Sequence: 1, LastUpdate: 1}})
+	p.step(time.Millisecond)
+	p.post(placerEvent{kind: eventDecisions, from: "first", decisions: &fleet.Decisions{Sequence: 1, FullUpdateNeeded: true}}) // restarted
+	p.step(2 * time.Millisecond)
+	is.True(out.last("first").Full)
+	is.True(out.last("first").Served)
+}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -134,6 +134,8 @@
 	Responses   []Response `cbor:"18,keyasint,omitempty"` // to requests with a part of BlockList.Watched
 	// Begun holds the origins of the streams that began, or of all that are known in full updates.
 	Begun []origin.Record `cbor:"19,keyasint,omitempty"`
+	// Served states in full updates that an allocator, or the instance itself, has decided about its requests before.
+	Served bool `cbor:"20,keyasint,omitempty"`
 }
 
 // OriginQuery asks for the origin of the stream that an attempt began.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,7 +42,7 @@
 	{5009, runDeadlyRequest, "a sound request was blocked after a change of allocator, as in 5101"},
 	{5101, runDeadlyRequest, "a new allocator had seen the losses of a sound request only, not those of the one at fault"},
 	{5110, runDeadlyRequest, "a crash by a blocked request counted for a sound one"},
-	{6012, runDeadlyRequest, "open: a new allocator did not know that it was new, and missed the late report of a loss"},
+	{6012, runDeadlyRequest, "a new allocator did not know that it was new, and missed the late report of a loss"},
 }
 
 const (
