Soak: clients take up streams, at two software versions side by side

Each stream must go on at the version that began it, with the events that follow, and some must be complete after a take-up.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,6 +96,7 @@
 		w := newWorkload(t, s, seed)
 		w.waitFor("service", startTimeout, w.isServing)
 		w.startLoad(clientCount)
+		w.startTakeUps(rand.New(rand.NewPCG(seed, 5)))
 		phases(s, w)
 		repaired := time.Now()
 		w.waitFor("service after the faults", recoveryTimeout, w.isServing)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -141,7 +141,7 @@
 	address := network.Address(100 + i)
 	engine, err := standin.StartEngine(placement.Engine{
 		ID: fmt.Sprint("engine-", i), Service: service, Address: address + ":9000",
-		DataCentre: dataCentres[i%len(dataCentres)], Slots: 4,
+		DataCentre: dataCentres[i%len(dataCentres)], Slots: 4, Version: engineVersion(i),
 	}, events, interval)
 	s.must(err)
 	engineProxy, err := startProxy(address+":8080", engine.Address)
--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -41,6 +41,8 @@
 	revoked  map[string]time.Time // removed keys with the time when the removal was acknowledged
 	lastID   int
 	answered int
+	streams  [][]string // attempts of each stream that a client took up, in order
+	takenUp  int        // streams that are complete after a take-up
 }
 
 const (
@@ -254,7 +256,8 @@
 func (w *workload) summary() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return fmt.Sprintf("%d requests, %d answered, configuration %d acknowledged", len(w.attempts), w.answered, w.acked)
+	return fmt.Sprintf("%d requests, %d answered, %d streams taken up, configuration %d acknowledged",
+		len(w.attempts), w.answered, w.takenUp, w.acked)
 }
 
 // stopAndCheck stops the load and checks the responses that the clients received against the runs of the
@@ -267,9 +270,11 @@
 		w.t.Errorf("configuration %d was acknowledged, but the newest one left is %d", w.acked, newest)
 	}
 	runs := map[string]int{}
+	versioned := map[string][]versionedRun{}
 	for _, e := range append(append([]*standin.Engine{}, w.system.engines...), w.system.crashedEngines...) {
 		for _, r := range e.Runs() {
 			runs[r.Attempt]++
+			versioned[r.Attempt] = append(versioned[r.Attempt], versionedRun{e.Version, r.FromEvent})
 		}
 	}
 	w.mu.Lock()
@@ -277,6 +282,10 @@
 	if w.answered == 0 {
 		w.t.Error("no request was answered")
 	}
+	if w.takenUp == 0 {
+		w.t.Error("no stream was complete after a client had taken it up")
+	}
+	w.checkVersions(versioned)
 	for _, a := range w.attempts {
 		count := runs[a.id]
 		nonIdempotent := a.path == standin.NonIdempotentPath || a.path == standin.StreamPath
