Keep a relay in use whose tunnel was not needed

A dial through a relay that is cancelled because the direct one was faster ended with a time-out and paused the relay for two seconds. TestRelayThatWasNotNeededStaysInUse failed before. The status of a busy relay, which was never sent, is removed.

--- a/internal/enginelink/dialer.go
+++ b/internal/enginelink/dialer.go
@@ -210,10 +210,13 @@
 		d.results[dialRelayed].Inc()
 		return dialed{connection: connection}
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return dialed{err: err} // not needed any more
+	}
 	d.results[dialRelayFailed].Inc()
 	var refused *RefusedError
 	var unreachable *UnreachableError
-	if !errors.As(err, &refused) && !errors.As(err, &unreachable) && !errors.Is(err, context.Canceled) {
+	if !errors.As(err, &refused) && !errors.As(err, &unreachable) {
 		d.mu.Lock()
 		d.pauses[relay] = time.Now().Add(relayPause)
 		d.mu.Unlock()
--- a/internal/enginelink/enginelink_test.go
+++ b/internal/enginelink/enginelink_test.go
@@ -244,3 +244,23 @@
 		is.True(time.Since(start) < 2*dialTimeout)
 	}
 }
+
+// Guards against a sound relay that is not used for a while because a direct dial was faster.
+func TestRelayThatWasNotNeededStaysInUse(t *testing.T) {
+	is := is.New(t)
+	silent := startEngine(t, func(c *net.TCPConn) { io.Copy(io.Discard, c) }) // accepts, but opens no tunnel
+	engine := startEngine(t, func(c *net.TCPConn) { io.Copy(io.Discard, c) })
+	d := NewDialer(DialerOptions{
+		Direct: func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(relayDelay + 50*time.Millisecond)
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
+		Relays: func() []string { return []string{silent} }, SharedKey: testKey, OnIsolated: func() {},
+		Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+	})
+	dialDuration(t, d, engine)
+	time.Sleep(50 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.Equal(len(d.pauses), 0)
+}
--- a/internal/enginelink/relay.go
+++ b/internal/enginelink/relay.go
@@ -161,6 +161,7 @@
 	}
 	r.opened.Inc()
 	r.workers.Go(func() {
+		// An error ends the tunnel as the end of the instance's bytes does.
 		_, _ = io.CopyBuffer(struct{ io.Writer }{out}, struct{ io.Reader }{in}, make([]byte, toEngineBuffer))
 		_ = out.Close() // ends the copy in the other direction as well
 	})
--- a/internal/enginelink/tunnel.go
+++ b/internal/enginelink/tunnel.go
@@ -42,7 +42,6 @@
 	statusRefused     status = 2 // the engine refused the connection
 	statusUnreachable status = 3 // the engine did not answer in time
 	statusDenied      status = 4 // the key is wrong, or no engine has the address
-	statusBusy        status = 5 // the relay has too many tunnels
 )
 
 // RefusedError reports an engine that accepts no connection, as a relay found.
@@ -60,17 +59,9 @@
 }
 
 // DeniedError reports a relay that opened no tunnel.
-type DeniedError struct {
-	Relay string
-	Busy  bool
-}
+type DeniedError struct{ Relay string }
 
-func (e *DeniedError) Error() string {
-	if e.Busy {
-		return "enginelink: relay " + e.Relay + " has too many tunnels"
-	}
-	return "enginelink: relay " + e.Relay + " denied the tunnel"
-}
+func (e *DeniedError) Error() string { return "enginelink: relay " + e.Relay + " denied the tunnel" }
 
 func tunnelMAC(key, nonce []byte, address string) []byte {
 	h := hmac.New(sha256.New, key)
@@ -122,7 +113,7 @@
 	case statusUnreachable:
 		return &UnreachableError{Address: address}
 	}
-	return &DeniedError{Relay: relay, Busy: status(answer[0]) == statusBusy}
+	return &DeniedError{Relay: relay}
 }
 
 // writeFrame writes a frame in one call. data has at most maxFrameBytes.
