Remember versions for as long as a stream may be taken up

By reading: the versions of a service were remembered for 30 s, so that a stream of a route with a longer timeout could have gone on at the version that was left. The window is now twice the timeout of the route, 30 s at least; beyond ten minutes only recorded streams go on. Records are kept for a minute at least. TestWindowCoversDeadline.

--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -131,7 +131,7 @@
 	if found, known := o.table.Find(query.Attempt); known {
 		return fleet.OriginReply{Known: true, Origin: found}, nil
 	}
-	return fleet.OriginReply{Versions: o.history.Versions(clock(), query.Service, isCurrent)}, nil
+	return fleet.OriginReply{Versions: o.history.Versions(clock(), time.Duration(query.WindowMS)*time.Millisecond, query.Service, isCurrent)}, nil
 }
 
 // sendRecords sends new records to the other control instances until ctx is cancelled.
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -70,14 +70,14 @@
 	if found, known := s.table.Find(query.Attempt); known {
 		return fleet.OriginReply{Known: true, Origin: found}
 	}
-	return fleet.OriginReply{Versions: s.history.Versions(clock(), query.Service, isCurrent)}
+	return fleet.OriginReply{Versions: s.history.Versions(clock(), time.Duration(query.WindowMS)*time.Millisecond, query.Service, isCurrent)}
 }
 
 // find returns the origin of the stream that an attempt began. If no instance knows it but all engines of the service
-// have had the same version for long enough, it is that version. The attempt is empty if the caller does not name it.
-func (s *origins) find(ctx context.Context, attempt, service string) (origin.Origin, bool) {
+// have had the same version within the window, it is that version. The attempt is empty if the caller does not name it.
+func (s *origins) find(ctx context.Context, attempt, service string, window time.Duration) (origin.Origin, bool) {
 	s.takeUps.Inc()
-	query := fleet.OriginQuery{Service: service}
+	query := fleet.OriginQuery{Service: service, WindowMS: window.Milliseconds()}
 	if attempt != "" {
 		query.Attempt = origin.NewAttempt(attempt)
 	}
@@ -124,7 +124,7 @@
 		return 0, ""
 	}
 	x.lastEventID = after
-	found, known := x.edge.origins.find(x.request.Context(), attempt, x.service.Name)
+	found, known := x.edge.origins.find(x.request.Context(), attempt, x.service.Name, origin.Window(x.route.Timeout))
 	if !known || !x.route.HasTarget(found.Service) {
 		return http.StatusServiceUnavailable, reasonUnknownOrigin
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -142,6 +142,8 @@
 type OriginQuery struct {
 	Attempt origin.Attempt `cbor:"1,keyasint"` // 0 if the caller does not name it
 	Service string         `cbor:"2,keyasint"`
+	// WindowMS is the time before which no stream began that a caller may still take up.
+	WindowMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // OriginReply is the reply to OriginQuery.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -12,9 +12,19 @@
 	"github.com/primrosebeam/primrosebeam/placement"
 )
 
-// Retention is the time for which the origin of a stream is known at least. A caller may take up a stream until the
-// deadline of its first attempt, so it exceeds the longest deadline of a stream.
-const Retention = 30 * time.Second
+// Retention is the time for which the origin of a stream is known at least, unless there are too many.
+const Retention = time.Minute
+
+const (
+	// minWindow is the shortest window in which the versions of a service count.
+	minWindow = 30 * time.Second
+	// maxWindow is the longest such window, and the time for which a History remembers versions.
+	maxWindow = 10 * time.Minute
+)
+
+// Window returns the time before which no stream began that a caller may still take up. A caller that states a longer
+// total deadline than that of its route is given twice as long.
+func Window(routeTimeout time.Duration) time.Duration { return max(minWindow, 2*routeTimeout) }
 
 // maxRecords bounds the records that are kept of one period of Retention, about 100 bytes each.
 const maxRecords = 100_000
@@ -100,7 +110,7 @@
 		h.listed[o] = now
 	}
 	for o, at := range h.listed {
-		if now-at > 2*Retention {
+		if now-at > maxWindow {
 			delete(h.listed, o)
 		}
 	}
@@ -113,11 +123,12 @@
 	Complete bool     `cbor:"2,keyasint,omitempty"` // the lists of the instance reach back far enough
 }
 
-// Versions returns the versions of a service. isCurrent states whether the newest list is still in force.
-func (h *History) Versions(now time.Duration, service string, isCurrent bool) VersionSet {
-	set := VersionSet{Complete: isCurrent && h.listed != nil && now-h.since >= Retention}
+// Versions returns the versions of a service that were listed within a window. isCurrent states whether the newest list
+// is still in force.
+func (h *History) Versions(now, window time.Duration, service string, isCurrent bool) VersionSet {
+	set := VersionSet{Complete: isCurrent && h.listed != nil && now-h.since >= window && window <= maxWindow}
 	for o, at := range h.listed {
-		if o.Service == service && (h.current[o] || now-at <= Retention) {
+		if o.Service == service && (h.current[o] || now-at <= window) {
 			set.Versions = append(set.Versions, o.Version)
 		}
 	}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -61,12 +61,12 @@
 		version string // empty if there is not only one
 	}{
 		{"no list", nil, 100 * s, false, ""},
-		{"short history", []list{{0, engines("v1")}}, Retention - 1, false, ""},
-		{"one version", []list{{0, engines("v1", "v1")}}, Retention, false, "v1"},
-		{"one version, stale list", []list{{0, engines("v1")}}, 2 * Retention, true, ""},
-		{"two versions", []list{{0, engines("v1", "v2")}}, 2 * Retention, false, ""},
-		{"former version just left", []list{{0, engines("v1", "v2")}, {100 * s, engines("v2")}}, 100*s + Retention, false, ""},
-		{"former version long gone", []list{{0, engines("v1", "v2")}, {100 * s, engines("v2")}}, 100*s + Retention + 1, false, "v2"},
+		{"short history", []list{{0, engines("v1")}}, minWindow - 1, false, ""},
+		{"one version", []list{{0, engines("v1", "v1")}}, minWindow, false, "v1"},
+		{"one version, stale list", []list{{0, engines("v1")}}, 2 * minWindow, true, ""},
+		{"two versions", []list{{0, engines("v1", "v2")}}, 2 * minWindow, false, ""},
+		{"former version just left", []list{{0, engines("v1", "v2")}, {100 * s, engines("v2")}}, 100*s + minWindow, false, ""},
+		{"former version long gone", []list{{0, engines("v1", "v2")}, {100 * s, engines("v2")}}, 100*s + minWindow + 1, false, "v2"},
 		{"former version seen in one list", []list{{0, engines("v1")}, {99 * s, engines("v1", "v2")}, {100 * s, engines("v1")}}, 101 * s, false, ""},
 		{"no engine left", []list{{0, engines("v1")}, {100 * s, engines()}}, 200 * s, false, ""},
 	}
@@ -77,7 +77,7 @@
 			for _, l := range test.lists {
 				h.Observe(l.at, l.engines)
 			}
-			version, only := OnlyVersion([]VersionSet{h.Versions(test.now, "s", !test.stale)})
+			version, only := OnlyVersion([]VersionSet{h.Versions(test.now, minWindow, "s", !test.stale)})
 			is.Equal(only, test.version != "")
 			if only {
 				is.Equal(version, test.version)
@@ -95,3 +95,20 @@
 	is.True(only)
 	is.Equal(version, "v1")
 }
+
+// Guards against streams of a long deadline that go on at another version, because the one that began them was forgotten.
+func TestWindowCoversDeadline(t *testing.T) {
+	is := is.New(t)
+	h := &History{}
+	h.Observe(0, engines("v1"))
+	h.Observe(time.Hour, engines("v2"))
+	const timeout = 3 * time.Minute
+	only := func(after time.Duration) bool {
+		_, only := OnlyVersion([]VersionSet{h.Versions(time.Hour+after, Window(timeout), "s", true)})
+		return only
+	}
+	is.True(!only(timeout))
+	is.True(!only(2 * timeout))
+	is.True(only(2*timeout + 1))
+	is.True(!h.Versions(2*time.Hour, Window(maxWindow), "s", true).Complete) // longer than what is remembered
+}
