--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -25,8 +25,6 @@
 	originSaveInterval = 50 * time.Millisecond
 	// originBatch is the maximum number of records of one message or write.
 	originBatch = 2048
-	// originListAge is the age of the list of engines up to which it is treated as current.
-	originListAge = 2 * time.Second
 )
 
 // origins keeps which software version began which stream, shares it with the other control instances and saves it,
@@ -125,7 +123,7 @@
 	if err := link.Decode(body, &query); err != nil {
 		return nil, err
 	}
-	isCurrent := o.core.directory.State().Age() <= originListAge
+	isCurrent := o.core.directory.State().Age() <= origin.MaxListAge
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if found, known := o.table.Find(query.Attempt); known {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -19,8 +19,6 @@
 const (
 	// originTimeout bounds the search for the origin of a stream. It exceeds the retransmission of one lost packet.
 	originTimeout = 350 * time.Millisecond
-	// originListAge is the age of the list of engines up to which it is treated as current.
-	originListAge = 2 * time.Second
 	// maxReportedOrigins bounds the origins of a full update, which take about 45 bytes each.
 	maxReportedOrigins = 8192
 )
@@ -64,7 +62,7 @@
 // lookUp returns the origin of a stream as far as this instance knows it, or else the versions at which it may have
 // begun.
 func (s *origins) lookUp(query fleet.OriginQuery) fleet.OriginReply {
-	isCurrent := s.directory.State().Age() <= originListAge
+	isCurrent := s.directory.State().Age() <= origin.MaxListAge
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if found, known := s.table.Find(query.Attempt); known {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -78,7 +78,8 @@
 }
 
 // shouldRetry decides whether the request is sent to another engine. A request that an engine may have run
-// is retried only if its route allows it, and not if it is suspected to crash engines. A request that engines refused to run may be sent to a few more.
+// is retried only if its route allows it, and not if it is suspected to crash engines. A request that engines refused to
+// run may be sent to a few more.
 // Both use the retry budget, which limits the load that failing engines add. If an engine accepted no
 // connection, it received nothing, so a retry cannot run the request twice and uses no budget.
 func (x *exchange) shouldRetry(last sendResult) bool {
--- a/internal/enginelink/relay.go
+++ b/internal/enginelink/relay.go
@@ -22,6 +22,8 @@
 	maxTunnels = 1024
 	// requestTimeout is how long a request for a tunnel may take to arrive.
 	requestTimeout = time.Second
+	// acceptPause is how long no tunnel is accepted after a failure, which may last.
+	acceptPause = 10 * time.Millisecond
 	// toEngineBuffer is the size of the buffer for bytes to an engine.
 	toEngineBuffer = 8 << 10
 )
@@ -78,7 +80,7 @@
 		case err != nil:
 			// Too many descriptors are in use, or the dialler has left.
 			r.options.Logger.Warn().Err(err).Msg("tunnel not accepted")
-			time.Sleep(requestTimeout / 100)
+			time.Sleep(acceptPause)
 			continue
 		}
 		r.accept(ctx, connection)
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -15,6 +15,9 @@
 // Retention is the time for which the origin of a stream is known at least, unless there are too many.
 const Retention = time.Minute
 
+// MaxListAge is the age of a list of engines up to which it is treated as still in force.
+const MaxListAge = 2 * time.Second
+
 const (
 	// minWindow is the shortest window in which the versions of a service count.
 	minWindow = 30 * time.Second
