Review, case 3: a stream goes on at an engine of another version

Cause: an engine that starts again under its ID at another software version is taken for its former version until the list has been read again.

Change: a script with such a restart and the crash of another engine half a second later.

--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -127,6 +127,12 @@
 	e.record.printf("engine %s drains", e.id)
 }
 
+// crash ends the engine at once. It remains on the list.
+func (e *engine) crash() {
+	_ = e.server.Close()
+	e.record.printf("engine %s has crashed", e.id)
+}
+
 // stop stops the engine and takes it off the list.
 func (e *engine) stop() {
 	_ = e.server.Close()
@@ -223,6 +229,7 @@
 	if err != nil {
 		from = 0
 	}
+	version := e.version
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
 	for number := from + 1; number <= (tokens+tokensOfEvent-1)/tokensOfEvent; number++ {
@@ -231,7 +238,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", number, r.Header.Get("X-Attempt-Id"), number)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d software %s\n\n", number, r.Header.Get("X-Attempt-Id"), number, version)
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -24,9 +24,10 @@
 type play func(s *system, r *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
-	"replay": playReplay,
-	"roll":   playRoll,
-	"stop":   playStop,
+	"replay":  playReplay,
+	"roll":    playRoll,
+	"stop":    playStop,
+	"upgrade": playUpgrade,
 }
 
 func main() {
