--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -5,8 +5,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -51,13 +54,17 @@
 		return exitNotRun
 	}
 	defer s.stop()
-	watchdog := time.AfterFunc(maxDuration, func() {
-		r.printf("could not run: it took longer than %v", maxDuration)
+	giveUp := func(why string) {
+		r.printf("could not run: %s", why)
 		s.stop()
 		r.close()
 		os.Exit(exitNotRun)
-	})
+	}
+	watchdog := time.AfterFunc(maxDuration, func() { giveUp("it took longer than " + maxDuration.String()) })
 	defer watchdog.Stop()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { giveUp("it was ended from outside") })()
 	r.printf("disruption: %v", trouble)
 	broken, err := p(s, r, trouble)
 	switch {
