Log what the engine's response stated when a request fails or is refused

A request that had run was reported as refused, and the log could not tell the three hypotheses apart: an engine's own status that was relayed, the copy of an earlier refusal, or a refusal of a repetition. The line of a request now holds the status of the engine's response, whether it states that the request did not run, whether it names the attempt and whether the connection was used before.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -62,6 +62,15 @@
 	// one that replaced a kept connection.
 	responseBegun     bool
 	connectionRefused bool
+	answer            engineAnswer // header of the response to the most recent send, zero without one
+}
+
+// engineAnswer is what the header of an engine's response states, for the log.
+type engineAnswer struct {
+	status      int
+	notExecuted bool // it states that the engine did not run the request
+	identified  bool // it names the attempt
+	reused      bool // its connection has carried other requests before
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -94,6 +95,9 @@
 		event.Str("engine", x.engine).Str("version", x.version).Int("sends", x.sends).Int("resends", x.retries).
 			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
+	if a := x.answer; a.status != 0 && (why != reasonAnswered || a.status >= http.StatusBadRequest) {
+		event.Int("engineStatus", a.status).Bool("notExecuted", a.notExecuted).Bool("identified", a.identified).Bool("reused", a.reused)
+	}
 	if after := x.request.Header.Get(platform.HeaderLastEvent); after != "" {
 		event.Str("after", after).Str("resumes", x.request.Header.Get(platform.HeaderResumes)).Str("origin", x.pinnedVersion)
 	}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -49,6 +49,7 @@
 	defer cancel()
 	x.engine, x.version, x.sentAt = s.engine.ID, s.engine.Version, clock()
 	x.connectionLost, x.responseBegun, x.connectionRefused = false, false, false
+	x.answer = engineAnswer{}
 	watch := newWatchdog(cancel, x.responseTimeout(), x.reserveRetry)
 	defer watch.stop()
 	response, connection, err := x.roundTrip(ctx, s.engine)
@@ -71,6 +72,10 @@
 	}
 	defer response.Body.Close()
 	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
+	x.answer = engineAnswer{
+		status: response.StatusCode, notExecuted: response.Header.Get(platform.HeaderNotExecuted) != "",
+		identified: x.responseBegun, reused: connection.reused.Load(),
+	}
 	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
