Relay no status of an engine by which a request that may have run counts as refused

Callers saw 408, 429 or 503 for requests that had run (REFUSED), and so could send an order again that was done. Cause: the status of a response without X-Not-Executed was relayed as it came, while only that header, or 421 from another engine, states that a request did not run. 421 from the engine that the request names counted as well.

What proves that a request did not run is now decided in one function, and a response that does not prove it never reaches a caller with a status that promises it: retried where the route allows it, else 502 without the signature. The instance's own refusals check in one place that no send may have run.

--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -43,6 +43,7 @@
 	rateLimits       *metrics.Counter
 	brittle          *metrics.Counter
 	unsentGrants     *metrics.Counter
+	unprovenRefusals *metrics.Counter // responses by whose status the caller would take a request that may have run for refused
 	firstEvent       *metrics.Histogram
 	queue            *metrics.Histogram
 	outcomes         sync.Map // *metrics.Counter by reason; the set of reasons is fixed
@@ -58,6 +59,7 @@
 		rateLimits:       set.NewCounter("primrosebeam_engine_rate_limits_total"),
 		brittle:          set.NewCounter("primrosebeam_engine_brittle_changes_total"),
 		unsentGrants:     set.NewCounter("primrosebeam_unsent_grants_total"),
+		unprovenRefusals: set.NewCounter("primrosebeam_unproven_refusals_total"),
 		firstEvent:       set.NewHistogram("primrosebeam_first_event_seconds"),
 		queue:            set.NewHistogram("primrosebeam_queue_seconds"),
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -376,14 +376,11 @@
 	return x.eventsSent * x.service.Model.TokensPerEvent
 }
 
-// finishUnplaced sends the final response of a request that gets no slot. The response states that the
-// request was refused only if no engine can have run it in any of its sends.
+// finishUnplaced sends the final response of a request that gets no slot.
 func (x *exchange) finishUnplaced(why reason, retryAfter time.Duration) {
 	switch {
 	case x.headerSent:
 		x.abort(why)
-	case x.sends > 0:
-		x.respond(http.StatusBadGateway, why, 0)
 	case why == reason(placement.ReasonQuota):
 		x.refuse(http.StatusTooManyRequests, why, retryAfter)
 	default:
@@ -417,8 +414,12 @@
 	}
 }
 
-// refuse responds to a request that has not run and will not run.
+// refuse responds to a request that does not run. The response states so only if no engine can have run the request
+// in any of its sends.
 func (x *exchange) refuse(status int, why reason, retryAfter time.Duration) {
+	if x.sends > 0 {
+		status, retryAfter = http.StatusBadGateway, 0
+	}
 	x.respond(status, why, retryAfter)
 }
 
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -284,14 +284,14 @@
 	return resultFailed
 }
 
-// checkResponse handles responses that must not be relayed: the engine's refusal to run the request, a
-// response to another request, an encoded body, a success without an engine's signature, and a failure that
-// another engine may avoid. done reports whether the send ends with result; otherwise the response is
-// relayed. A refusal that names no attempt counts only on a new connection: on one that was used before it may be the
-// copy of an earlier one.
+// checkResponse handles responses that must not be relayed: the engine's refusal to run the request, a status by which
+// the caller would take a request for refused that may have run, a response to another request, an encoded body, a
+// success without an engine's signature, and a failure that another engine may avoid. done reports whether the send
+// ends with result; otherwise the response is relayed. A refusal that names no attempt counts only on a new connection:
+// on one that was used before it may be the copy of an earlier one.
 func (x *exchange) checkResponse(r *http.Response, engine placement.Engine, reused bool) (result sendResult, done bool) {
 	echoed := r.Header.Get(platform.HeaderAttempt)
-	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(platform.HeaderNotExecuted) != "" {
+	if platform.StatesNotExecuted(r, engine.ID) {
 		if echoed != x.id && echoed != "" || echoed == "" && reused {
 			x.sends++
 			return x.discard(engine, "answer to another request"), true
@@ -303,6 +303,10 @@
 	switch {
 	case echoed != x.id:
 		return x.discard(engine, "answer to another request"), true
+	case platform.PromisesNotExecuted(r.StatusCode):
+		x.cause = "status " + strconv.Itoa(r.StatusCode) + " from an engine that may have run it"
+		x.edge.counters.unprovenRefusals.Inc()
+		return resultFailed, true
 	case r.StatusCode < http.StatusOK:
 		return x.discard(engine, "no final status"), true
 	case r.Header.Get("Content-Encoding") != "":
