Do not take the start of a load report for the whole

A load report above its limit was cut there, and the load that came before taken for that of the engine: an engine that wrote without an end counted as idle. It is an error now. Found by a test of responses without an end on the product's own path, which also shows that memory is bounded there, before and now: 2 of 65 cases failed, both for the missing error.

--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -63,11 +63,16 @@
 	}
 	defer body.Close()
 	load := Load{At: time.Now()}
-	lines := bufio.NewScanner(io.LimitReader(body, maxReportBytes))
+	limited := &io.LimitedReader{R: body, N: maxReportBytes + 1}
+	lines := bufio.NewScanner(limited)
 	for lines.Scan() {
 		load.parseLine(lines.Text())
 	}
-	if err := lines.Err(); err != nil {
+	err = lines.Err()
+	if err == nil && limited.N <= 0 {
+		err = &TooLargeError{Limit: maxReportBytes}
+	}
+	if err != nil {
 		return Load{}, &ReportError{Engine: engine, Path: pathMetrics, Cause: err}
 	}
 	return load, nil
