Answer the requests that are left at the end of a stop

A planned stop of an entry instance cut what was still in progress at its end without a response, also requests that had never been sent because they waited for a slot (LOST). Only the server of the connections knew when the stop ends, and it can only close them.

The end of the stop is now a deadline of each request, 0.2 s before connections are closed: 503 for what was not sent, 502 for what was, streams that have begun are aborted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,9 @@
 	drainDelay = 2500 * time.Millisecond
 	// stopMargin is the time left between the end of a graceful stop and the limit on the stop.
 	stopMargin = 300 * time.Millisecond
+	// answerMargin is the time before the end of a graceful stop at which requests that are still in progress are
+	// given up, so that their callers get a response.
+	answerMargin = 200 * time.Millisecond
 )
 
 // Options configures an Edge.
@@ -61,9 +64,11 @@
 	configured     chan struct{} // closed when the first configuration is in force
 	configuredOnce sync.Once
 	stopping       atomic.Bool
-	// stopEnd is the time at which a stop cuts the requests that are still in progress, by clock(); 0 until the
+	// stopEnd is the time at which a stop gives up the requests that are still in progress, by clock(); 0 until the
 	// load balancer had the time to remove this instance.
 	stopEnd           atomic.Int64
+	giveUp            context.Context // cancelled at stopEnd
+	giveUpNow         context.CancelFunc
 	started           time.Duration
 	nextDirectoryRead atomic.Int64
 }
@@ -75,6 +80,7 @@
 		options: o, notices: placement.NewNotices(),
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
+	e.giveUp, e.giveUpNow = context.WithCancel(context.Background())
 	e.transport = newTransport(enginelink.NewDialer(enginelink.DialerOptions{
 		Direct: o.DialEngine, Relays: e.relays, SharedKey: o.SharedKey, Logger: o.Logger, Metrics: o.Metrics,
 		OnIsolated: func() { e.transport.CloseIdleConnections() }, // they hang
@@ -228,7 +234,7 @@
 	}
 }
 
-// isCutBefore reports whether a stop of this instance would cut a request before its deadline. The usual duration
+// isCutBefore reports whether a stop of this instance would give up a request before its deadline. The usual duration
 // is no bound: an engine may be silent for a while and respond later.
 func (e *Edge) isCutBefore(deadline time.Duration) bool {
 	end := time.Duration(e.stopEnd.Load())
@@ -237,14 +243,20 @@
 
 // stop takes the instance out of service without interrupting requests. It reports that the instance is not
 // ready, continues to serve until the load balancer has removed the instance, closes idle connections and
-// waits for the requests in progress, also for those that are still being read.
+// waits for the requests in progress, also for those that are still being read. Those that take too long are given up
+// shortly before the limit on the stop.
 func (e *Edge) stop(server *drain.Server) {
 	start := clock()
 	e.stopping.Store(true)
 	e.options.Logger.Info().Msg("stop requested")
 	time.Sleep(drainDelay)
 	end := start + e.options.Settings.Bounds.StopTimeout - stopMargin
-	e.stopEnd.Store(int64(end))
+	e.stopEnd.Store(int64(end - answerMargin))
+	giveUp := time.AfterFunc(end-answerMargin-clock(), func() {
+		e.options.Logger.Warn().Msg("requests in progress are given up")
+		e.giveUpNow()
+	})
+	defer giveUp.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), end-clock())
 	defer cancel()
 	if err := server.Stop(ctx); err != nil {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -23,6 +23,7 @@
 	resultIncomplete                    // the response ended early after a part of it was relayed
 	resultCallerLeft                    // the caller disconnected
 	resultDeadline                      // the deadline passed
+	resultStopped                       // the stop of this instance leaves no more time
 )
 
 // maxRefusedRetries is the number of retries that a request may use in addition to the attempts of its
@@ -41,6 +42,7 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.timeLeft())
 	defer cancel()
+	defer context.AfterFunc(x.edge.giveUp, cancel)()
 	for {
 		acquired, ok := x.acquireUsableSlot(ctx)
 		if !ok {
@@ -71,7 +73,7 @@
 			return placement.OutcomeBrittleRefused
 		}
 		return placement.OutcomeRefused
-	case resultCallerLeft, resultDeadline:
+	case resultCallerLeft, resultDeadline, resultStopped:
 		return placement.OutcomeCancelled
 	}
 	if x.connectionLost {
@@ -215,9 +217,12 @@
 	case <-ctx.Done():
 		x.queueTime += clock() - start
 		x.edge.placer.Cancel(t)
-		if x.request.Context().Err() != nil {
+		switch {
+		case x.request.Context().Err() != nil:
 			x.finishCallerLeft()
-		} else {
+		case x.edge.giveUp.Err() != nil:
+			x.finishUnplaced(reasonStopping, 0)
+		default:
 			x.finishUnplaced(reason(placement.ReasonDeadline), quotaRetry)
 		}
 		return slot{}, false
@@ -242,6 +247,12 @@
 			x.edge.balancer.Done(clock(), engine.ID, placement.OutcomeUnused)
 		}
 		x.finishCallerLeft()
+	case x.edge.giveUp.Err() != nil:
+		if why == "" {
+			x.edge.balancer.Done(clock(), engine.ID, placement.OutcomeUnused)
+		}
+		x.finishUnplaced(reasonStopping, 0)
+		return slot{}, false
 	case why != "":
 		x.finishUnplaced(reason(why), notReadyRetry)
 		return slot{}, false
@@ -405,6 +416,8 @@
 			return
 		}
 		x.respond(http.StatusGatewayTimeout, reasonTimeout, 0)
+	case resultStopped:
+		x.finishUnplaced(reasonStopping, 0)
 	case resultFailed:
 		if x.headerSent {
 			x.abort(reasonIncomplete)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -270,6 +270,11 @@
 	case x.request.Context().Err() != nil:
 		x.sends++
 		return resultCallerLeft
+	case x.edge.giveUp.Err() != nil:
+		if written {
+			x.sends++
+		}
+		return resultStopped
 	case !written:
 		return resultUnreachable
 	case watch.fired():
@@ -411,6 +416,8 @@
 	switch {
 	case x.request.Context().Err() != nil:
 		return resultCallerLeft
+	case x.edge.giveUp.Err() != nil:
+		return resultStopped
 	case watch.fired():
 		return resultFailed
 	case x.timeLeft() <= 0:
