--- a/internal/edge/response_test.go
+++ b/internal/edge/response_test.go
@@ -74,6 +74,7 @@
 		counters: newCounters(metrics.NewSet()), started: clock(),
 		retries: newRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
 	}
+	e.giveUp, e.giveUpNow = context.WithCancel(context.Background())
 	e.balancer = placement.NewBalancer("a", e.notices)
 	e.transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return dial(), nil }
 	return e
