Return a replica to the log wherever it found its disk full

After a full disk a control instance could stay out of the log for good, and two of them leave it without a quorum: changes are refused although all processes run and all disks have room. For writes that was fixed; a sync, a truncation, a rename or a sync of the directory that found no space counted as a failed sync, after which nobody knows what the disk holds.

All of them now count as a full disk. TestReplicaReturnsWhereverDiskWasFull failed in all six cases before; TestFullDisksLoseNothing has a second case with such disks.

--- a/internal/replica/reopen.go
+++ b/internal/replica/reopen.go
@@ -22,6 +22,13 @@
 		return
 	}
 	r.reopenAt = now.Add(reopenInterval)
+	if err := r.store.journal.CutBack(); err != nil {
+		if !errors.As(err, &full) {
+			r.failure = err
+			r.logger.Error().Err(err).Msg("what the full disk holds is not known; the replica takes no further part")
+		}
+		return
+	}
 	if err := r.store.close(); err != nil && !errors.As(err, &full) {
 		r.logger.Warn().Err(err).Msg("closing the journal failed")
 	}
@@ -32,7 +39,11 @@
 	}
 	if err := s.confirmWritable(); err != nil {
 		r.logger.Debug().Err(err).Msg("the disk is still full")
-		_ = s.close() // reports the same failure
+		r.store = s // it has to cut back what it wrote
+		if !errors.As(err, &full) {
+			r.failure = err
+			r.logger.Error().Err(err).Msg("storage failed; the replica takes no further part")
+		}
 		return
 	}
 	former := r.store
--- a/internal/replica/reopen_test.go
+++ b/internal/replica/reopen_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -62,9 +63,84 @@
 	is.Equal(len(commands), 1+2*3*30+1)
 }
 
+// Guards against a replica that stays out of the log because another operation than a write found the disk full: the file
+// system reports it at the sync, or no operation but the removal of files succeeds.
+func TestReplicaReturnsWhereverDiskWasFull(t *testing.T) {
+	full := func(operations ...journal.Operation) func(faultfs.Step) error {
+		return func(s faultfs.Step) error {
+			if slices.Contains(operations, s.Operation) {
+				return syscall.ENOSPC
+			}
+			return nil
+		}
+	}
+	for _, test := range []struct {
+		name  string
+		fault func(faultfs.Step) error
+	}{
+		{"sync", full(journal.OperationSync)},
+		{"sync of the directory", full(journal.OperationSyncDirectory)},
+		{"rename", full(journal.OperationRename)},
+		{"write and truncate", full(journal.OperationWrite, journal.OperationTruncate)},
+		{"write and sync", full(journal.OperationWrite, journal.OperationSync)},
+		{"all", full(journal.OperationCreate, journal.OperationWrite, journal.OperationSync, journal.OperationTruncate,
+			journal.OperationRename, journal.OperationSyncDirectory)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, func(o *Options) { o.CompactEntries = 20; o.KeepEntries = 5 }, "a", "b", "c")
+			disks := map[string]*faultfs.FS{}
+			for _, name := range c.names {
+				disks[name] = faultfs.New()
+				c.members[name].files = disks[name]
+			}
+			c.startAll()
+			c.commit("first")
+			for _, name := range c.names { // the leader among them
+				identity := c.members[name].replica.Identity()
+				disks[name].SetFault(test.fault)
+				for i := range 50 { // snapshots are taken as well
+					c.commit(fmt.Sprint(name, i))
+				}
+				disks[name].SetFault(nil)
+				c.waitFor("the replica takes part", func() bool { return c.members[name].replica.State().Failed == "" })
+				is.Equal(c.members[name].replica.Identity(), identity)
+				c.waitConverged()
+			}
+			commands := map[string]bool{}
+			for _, command := range c.members["a"].machine.list() {
+				commands[command] = true
+			}
+			is.Equal(len(commands), 1+3*50+1)
+		})
+	}
+}
+
+// fillAt makes some of the modifying operations fail like those on a full disk.
+func fillAt(random *rand.Rand) func(faultfs.Step) error {
+	return func(s faultfs.Step) error {
+		if s.Operation != journal.OperationRemove && random.IntN(3) == 0 {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+}
+
 // Guards against commands that are lost or applied twice while disks become full in the middle of writes, are emptied,
 // and lose power.
 func TestFullDisksLoseNothing(t *testing.T) {
+	t.Run("at writes", func(t *testing.T) {
+		t.Parallel()
+		testFullDisksLoseNothing(t, fill)
+	})
+	t.Run("at any operation", func(t *testing.T) {
+		t.Parallel()
+		testFullDisksLoseNothing(t, fillAt)
+	})
+}
+
+func testFullDisksLoseNothing(t *testing.T, full func(*rand.Rand) func(faultfs.Step) error) {
 	const rounds = 12
 	is := is.New(t)
 	c := newCluster(t, func(o *Options) { o.CompactEntries = 40; o.KeepEntries = 5 }, "a", "b", "c")
@@ -80,17 +156,17 @@
 		c.commit(fmt.Sprint("start ", round))
 		stop, done := c.proposeUntilStopped(round)
 		name := c.names[random.IntN(len(c.names))]
-		fault := fill(rand.New(rand.NewPCG(uint64(round), 1)))
-		var full atomic.Bool
-		full.Store(true)
+		fault := full(rand.New(rand.NewPCG(uint64(round), 1)))
+		var isFull atomic.Bool
+		isFull.Store(true)
 		disks[name].SetFault(func(s faultfs.Step) error {
-			if full.Load() {
+			if isFull.Load() {
 				return fault(s)
 			}
 			return nil
 		})
 		time.Sleep(time.Duration(20+random.IntN(700)) * time.Millisecond)
-		full.Store(false)
+		isFull.Store(false)
 		if random.IntN(3) == 0 { // before or while the replica returns
 			time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
 			acknowledged = append(acknowledged, stop()...)
--- a/journal/atomic.go
+++ b/journal/atomic.go
@@ -33,10 +33,10 @@
 	}
 	if err := file.Sync(); err != nil {
 		_ = file.Close() // Only the sync error is reported.
-		return &IOError{Operation: OperationSync, Path: path, Err: err}
+		return wrapWriteError(OperationSync, path, err)
 	}
 	if err := file.Close(); err != nil {
-		return &IOError{Operation: OperationSync, Path: path, Err: err}
+		return wrapWriteError(OperationSync, path, err)
 	}
 	return nil
 }
@@ -54,7 +54,7 @@
 
 func syncDirectory(files FileSystem, path string) error {
 	if err := files.SyncDirectory(path); err != nil {
-		return &IOError{Operation: OperationSyncDirectory, Path: path, Err: err}
+		return wrapWriteError(OperationSyncDirectory, path, err)
 	}
 	return nil
 }
--- a/journal/errors.go
+++ b/journal/errors.go
@@ -107,7 +107,7 @@
 	return fmt.Sprintf("%d of %d bytes written", e.Written, e.Given)
 }
 
-// wrapWriteError wraps the error of a write, create or rename in *FullError or *IOError.
+// wrapWriteError wraps the error of a modifying operation in *FullError or *IOError.
 func wrapWriteError(op Operation, path string, err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
 		return &FullError{Path: path, Err: err}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -47,6 +47,7 @@
 
 	failure error // *IOError or *ClosedError that every call returns
 	noSpace error // *FullError that every write returns
+	uncut   bool  // after noSpace the active segment may hold more than its durable part
 }
 
 // First returns the lowest stored sequence, or Last()+1 if no record is stored.
@@ -76,7 +77,7 @@
 }
 
 // Sync makes all appended records durable. If it returns *FullError, the records appended since the last
-// successful Sync are discarded and later writes are refused; reading remains possible. If it returns
+// successful Sync are discarded and later writes are refused; reading remains possible. See CutBack. If it returns
 // *IOError, all later calls return the same error, because the operating system may have dropped the
 // unwritten pages and a second sync would not report that.
 func (j *Journal) Sync() error {
@@ -91,13 +92,35 @@
 	}
 	active := j.activeSegment()
 	if err := j.active.Sync(); err != nil {
-		return j.setFailed(&IOError{Operation: OperationSync, Path: active.path, Err: err})
+		return j.rejectWrites(wrapWriteError(OperationSync, active.path, err))
 	}
 	j.durable = j.last
 	j.durableBytes = active.bytes
 	return nil
 }
 
+// CutBack removes from the disk what is not durable after *FullError. The journal must not be opened again in the same
+// run of the system before it has succeeded: after a failed sync a later one may succeed although the records that it
+// should have written are in the cache only. It returns *FullError while the disk is still full, or *IOError.
+func (j *Journal) CutBack() error {
+	if !j.uncut {
+		return nil
+	}
+	if j.failure != nil {
+		return j.failure
+	}
+	if err := j.truncateActive(j.durableBytes, j.durable); err != nil {
+		err = wrapWriteError(OperationTruncate, j.activeSegment().path, err)
+		var full *FullError
+		if !errors.As(err, &full) {
+			return j.setFailed(err)
+		}
+		return err
+	}
+	j.uncut = false
+	return nil
+}
+
 // Replay calls fn for each stored record, starting with the given sequence or with First if that is higher. The
 // record is valid only during the call. It returns *CorruptError, *IOError or the error of fn.
 func (j *Journal) Replay(from Sequence, fn func(Sequence, []byte) error) error {
@@ -215,8 +238,8 @@
 	return err
 }
 
-// rejectWrites makes later writes fail. If the disk is full, it truncates the active segment to its durable
-// part and the journal stays readable; for any other error all later calls fail.
+// rejectWrites makes later writes fail. If the disk is full, it truncates the active segment to its durable part, unless
+// that finds the disk full as well, and the journal stays readable; for any other error all later calls fail.
 func (j *Journal) rejectWrites(err error) error {
 	var full *FullError
 	if !errors.As(err, &full) {
@@ -224,9 +247,9 @@
 	}
 	j.noSpace = err
 	j.pending = nil
-	active := j.activeSegment()
-	if truncateErr := j.truncateActive(j.durableBytes, j.durable); truncateErr != nil {
-		return j.setFailed(&IOError{Operation: OperationTruncate, Path: active.path, Err: truncateErr})
+	j.uncut = true
+	if cutErr := j.CutBack(); cutErr != nil && !errors.As(cutErr, &full) {
+		return cutErr
 	}
 	return err
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -289,6 +290,49 @@
 	}
 }
 
+// Guards against records that a full disk did not take at the sync and that are taken for durable once it has room,
+// because they are still in the cache.
+func TestFullDiskAtSyncIsCutBack(t *testing.T) {
+	for name, operations := range map[string][]journal.Operation{
+		"sync":                 {journal.OperationSync},
+		"sync and truncation":  {journal.OperationSync, journal.OperationTruncate},
+		"write and truncation": {journal.OperationWrite, journal.OperationTruncate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			files := faultfs.New()
+			j := open(t, files)
+			appendRange(t, j, 1, 3)
+			is.NoErr(j.Sync())
+			files.SetFault(func(s faultfs.Step) error {
+				if !slices.Contains(operations, s.Operation) {
+					return nil
+				}
+				if s.Operation == journal.OperationWrite {
+					return &faultfs.PartialWriteError{Bytes: s.Bytes, Err: syscall.ENOSPC}
+				}
+				return syscall.ENOSPC
+			})
+			appendRange(t, j, 4, 5)
+			var full *journal.FullError
+			is.True(errors.As(j.Sync(), &full))
+			is.True(errors.As(j.CutBack(), &full)) // the sync of the truncation, or the truncation, finds it full as well
+			files.SetFault(nil)
+			is.NoErr(j.CutBack())
+			requireRecords(t, j, 1, 3)
+			_, err := j.Append(nil)
+			is.True(errors.As(err, &full)) // until it is opened again
+			requireRecords(t, open(t, files.Crash(faultfs.WrittenContent, true)), 1, 3)
+			is.True(errors.As(j.Close(), &full))
+			j = open(t, files)
+			requireRecords(t, j, 1, 3)
+			appendRange(t, j, 4, 4)
+			is.NoErr(j.Sync())
+			requireRecords(t, open(t, files.Crash(faultfs.SyncedContent, false)), 1, 4)
+		})
+	}
+}
+
 // Guards against the loss of the previous snapshot or of records when the disk is full while a snapshot is
 // saved.
 func TestFullDiskDuringSnapshotKeepsThePreviousOne(t *testing.T) {
--- a/journal/open.go
+++ b/journal/open.go
@@ -135,7 +135,7 @@
 	// If only the process was killed, the records found here may exist only in the page cache, so they are
 	// synced before they are used. The truncation must be durable before the sequence numbers are used again.
 	if err := j.truncateActive(active.bytes, active.last); err != nil {
-		return &IOError{Operation: OperationTruncate, Path: active.path, Err: err}
+		return wrapWriteError(OperationTruncate, active.path, err)
 	}
 	return nil
 }
--- a/journal/segment.go
+++ b/journal/segment.go
@@ -111,7 +111,7 @@
 	}
 	if err := file.Sync(); err != nil {
 		_ = file.Close() // Only the sync error is reported.
-		return &IOError{Operation: OperationSync, Path: s.path, Err: err}
+		return wrapWriteError(OperationSync, s.path, err)
 	}
 	if err := syncDirectory(j.files, j.directory); err != nil {
 		_ = file.Close() // Only the sync error is reported.
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -60,10 +60,15 @@
 	}
 	path := j.snapshotPath(s.upTo)
 	if err := j.files.Rename(path+temporarySuffix, path); err != nil {
-		return j.setFailed(&IOError{Operation: OperationRename, Path: path, Err: err})
+		err = wrapWriteError(OperationRename, path, err)
+		if errors.As(err, &full) {
+			_ = j.files.Remove(path + temporarySuffix) // Open removes a remaining file.
+			return err
+		}
+		return j.setFailed(err)
 	}
 	if err := syncDirectory(j.files, j.directory); err != nil {
-		return j.setFailed(err)
+		return j.rejectWrites(err) // Either snapshot may be there after a crash; all records still are.
 	}
 	previous := j.snapshot
 	j.snapshot = s.upTo
