Do not take a refusal without an ID for that of the request after a report

A connection on which the engine was asked for its time of birth counted as new, so that a refusal without an ID, which may be the late copy of another response, was taken for that of the first request: its caller was told that it had not run. The HTTP client may give such a connection to any waiting request, also to one that may run once only. It now counts as used, like one that has carried requests. TestRefusalAfterReportMayBeCopy failed before.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -158,7 +158,7 @@
 // engineConnection is the connection on which a request is sent to an engine.
 type engineConnection struct {
 	current   atomic.Pointer[net.Conn]
-	reused    atomic.Bool // it has carried other requests before
+	reused    atomic.Bool // it has carried other requests or calls before
 	abandoned atomic.Bool // nothing was sent, since the engine may have started again
 }
 
@@ -185,7 +185,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection.current.Store(&info.Conn)
-			connection.reused.Store(info.Reused)
+			connection.reused.Store(info.Reused || wasAsked(info.Conn))
 			abandoned := x.needsListedStart(engine) && !x.edge.isListedStart(info.Conn, engine)
 			connection.abandoned.Store(abandoned)
 			if abandoned {
@@ -293,7 +293,7 @@
 // the caller would take a request for refused that may have run, a response to another request, an encoded body, a
 // success without an engine's signature, and a failure that another engine may avoid. done reports whether the send
 // ends with result; otherwise the response is relayed. A refusal that names no attempt counts only on a new connection:
-// on one that was used before it may be the copy of an earlier one.
+// on one that was used before it may be the copy of an earlier response.
 func (x *exchange) checkResponse(r *http.Response, engine placement.Engine, reused bool) (result sendResult, done bool) {
 	echoed := r.Header.Get(platform.HeaderAttempt)
 	if platform.StatesNotExecuted(r, engine.ID) {
--- a/internal/edge/start.go
+++ b/internal/edge/start.go
@@ -46,6 +46,12 @@
 	return x.pinnedVersion != "" && engine.Born != 0
 }
 
+// wasAsked reports whether the process at the other end of a connection was asked for its time of birth.
+func wasAsked(connection net.Conn) bool {
+	c, ok := connection.(*enginelink.Connection)
+	return ok && c.Born() != 0
+}
+
 // isListedStart reports whether the process at the other end of a connection is the start of the engine that the list
 // shows: it has said so, or a list shows that start which is of a time when the connection existed.
 func (e *Edge) isListedStart(connection net.Conn, engine placement.Engine) bool {
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +73,60 @@
 	is.Equal(x.outcomeOf(result), placement.OutcomeUnused)
 	is.Equal(x.sends, 0)
 }
+
+// newBornEdge returns an entry instance with connections to engines that were born at 1000 as often as born says so, and
+// then fail to state it. respond is called for each request on a connection; it returns false to close it.
+func newBornEdge(t *testing.T, born int, respond func(c net.Conn, number int) bool) *Edge {
+	e := newTestEdge(t, nil)
+	var dials atomic.Int32
+	e.transport.DialContext = enginelink.NewDialer(enginelink.DialerOptions{
+		Direct: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				in := bufio.NewReader(far)
+				for number := 0; ; number++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || !respond(far, number) {
+						return
+					}
+				}
+			}()
+			return near, nil
+		},
+		ReadBorn: func(net.Conn, string) (int64, error) {
+			if int(dials.Add(1)) > born {
+				return 0, &platform.ReportError{Cause: &platform.StatusError{Status: http.StatusNotFound}}
+			}
+			return 1000, nil
+		},
+		Relays: func() []string { return nil }, OnIsolated: func() {}, Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+	}).DialContext
+	t.Cleanup(e.transport.CloseIdleConnections)
+	return e
+}
+
+// sendTakeUp sends a request that takes up a stream at version v1 to the engine of newBornEdge.
+func sendTakeUp(t *testing.T, e *Edge) (*exchange, sendResult) {
+	x := newTestExchange(e, routing.KindStream, httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://host/path", nil))
+	x.route.Resume = true
+	x.deadline, x.pinnedVersion = clock()+time.Minute, "v1"
+	engine := placement.Engine{ID: "e", Address: "10.0.0.1:80", Version: "v1", Born: 1000}
+	return x, x.send(t.Context(), slot{engine: engine, firstEvent: func() {}})
+}
+
+// Guards against a refusal without an ID that is taken for that of the first request on a connection, though the
+// connection has carried the question for the engine's time of birth.
+func TestRefusalAfterReportMayBeCopy(t *testing.T) {
+	is := is.New(t)
+	e := newBornEdge(t, 1, func(c net.Conn, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\n"+platform.HeaderNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	x, result := sendTakeUp(t, e)
+	is.Equal(result, resultFailed)
+	is.Equal(x.sends, 1)
+}
