Remember that a request was sent when its repetition finds no process

The HTTP client sends a request that may be repeated once more when a kept connection ends without a response. If the new connection then led to a process that is not the listed start of the engine, the whole send counted as never made, and the caller was told that the request had not run, though the engine may have run it before it closed. Whether a connection was ever given to the request is now remembered across connections. TestRequestReceivedBeforeRestartMayHaveRun failed before.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -60,7 +60,7 @@
 	}
 	if err != nil {
 		var unidentified *platform.ReportError
-		if connection.abandoned.Load() || errors.As(err, &unidentified) {
+		if !connection.offered.Load() && (connection.abandoned.Load() || errors.As(err, &unidentified)) {
 			x.cause = causeOtherStart
 			x.edge.options.Logger.Info().Str("id", x.id).Str("engine", s.engine.ID).Int64("born", s.engine.Born).
 				Msg("the start of the engine that the list shows could not be confirmed")
@@ -68,7 +68,7 @@
 		}
 		x.cause = causeOf(err, watch)
 		x.connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
-		return x.classifyTransportError(connection.established(), watch)
+		return x.classifyTransportError(connection.offered.Load(), watch)
 	}
 	defer response.Body.Close()
 	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
@@ -159,12 +159,10 @@
 type engineConnection struct {
 	current   atomic.Pointer[net.Conn]
 	reused    atomic.Bool // it has carried other requests or calls before
-	abandoned atomic.Bool // nothing was sent, since the engine may have started again
+	abandoned atomic.Bool // nothing was sent on it, since the engine may have started again
+	offered   atomic.Bool // the request may have been sent, on this connection or on an earlier one that it replaces
 }
 
-// established reports whether there is a connection, so that a byte of the request may have been sent.
-func (c *engineConnection) established() bool { return c.current.Load() != nil }
-
 // close closes the connection, so that it is not used for other requests.
 func (c *engineConnection) close() {
 	if connection := c.current.Load(); connection != nil {
@@ -190,7 +188,9 @@
 			connection.abandoned.Store(abandoned)
 			if abandoned {
 				abandon(info.Conn)
+				return
 			}
+			connection.offered.Store(true)
 		},
 	}
 	in := x.request
--- a/internal/edge/start.go
+++ b/internal/edge/start.go
@@ -26,7 +26,7 @@
 			return nil, nil, &requestError{cause: err}
 		}
 		response, err := x.edge.transport.RoundTrip(request)
-		if err == nil || !connection.abandoned.Load() || check == maxStartChecks {
+		if err == nil || !connection.abandoned.Load() || connection.offered.Load() || check == maxStartChecks {
 			return response, connection, err
 		}
 	}
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -130,3 +130,21 @@
 	is.Equal(result, resultFailed)
 	is.Equal(x.sends, 1)
 }
+
+// Guards against a request that is reported as not run because its repetition found no process that may run it, after the
+// engine had received it and closed the connection.
+func TestRequestReceivedBeforeRestartMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	e := newBornEdge(t, 1, func(c net.Conn, number int) bool {
+		if number > 0 {
+			return false
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\n"+platform.HeaderAttempt+": attempt\r\n"+platform.HeaderNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	_, result := sendTakeUp(t, e)
+	is.Equal(result, resultRefused) // the connection is kept
+	x, result := sendTakeUp(t, e)
+	is.Equal(result, resultFailed)
+	is.Equal(x.sends, 1)
+}
