Let engines of the soak answer with unmarked refusals after a run

Engines of the stand-ins stated with each refusal that they did not run the request, so that neither tests nor the soak could see a status relayed that promises it falsely.

--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -52,13 +52,13 @@
 	return fmt.Sprintf("upstream: response from engine %q is for request %q, want %q", e.Engine, e.Got, e.Want)
 }
 
-// TooLargeError reports an event that exceeds the size limit.
+// TooLargeError reports an event or a load report that exceeds the size limit.
 type TooLargeError struct {
 	Limit int // bytes
 }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("upstream: event exceeds %d bytes", e.Limit)
+	return fmt.Sprintf("upstream: event or report exceeds %d bytes", e.Limit)
 }
 
 // UnexpectedEndError reports a stream that ended before its last event.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -173,8 +173,12 @@
 			engineProxy.setFault(fault(1 + random.IntN(4)))
 			s.scheduleRepair(faultDuration, func() { engineProxy.setFault(faultNone) })
 		case 8: // fault of an engine
-			e := s.engines[random.IntN(len(s.engines))]
-			e.SetFault(standin.Fault(1 + random.IntN(7)))
+			index := random.IntN(len(s.engines))
+			e, f := s.engines[index], standin.Fault(1+random.IntN(7))
+			if f == standin.FaultError && index%2 == 1 { // no draw of its own, which would change what the kept seeds play
+				f = standin.FaultUnmarked
+			}
+			e.SetFault(f)
 			s.scheduleRepair(faultDuration, func() { e.SetFault(standin.FaultNone) })
 		case 9: // change of the configuration
 			w.replaceConfiguration(random.IntN(3) == 0)
