--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -353,3 +353,22 @@
 	response.Body.Close()
 	is.NoErr(<-ended)
 }
+
+// Guards against a status of the engine by which the outcome of a request that ran becomes not-run.
+func TestStatusOfEngineIsNoRefusal(t *testing.T) {
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		is := is.New(t)
+		runs := 0
+		url := startHandler(t, func(w http.ResponseWriter, _ *http.Request) {
+			runs++
+			w.Header().Set(entry.HeaderOutcome, string(entry.OutcomeNotRun)) // an engine cannot state it
+			w.WriteHeader(status)
+		}, configuration.Route{Path: "/any/"})
+		response, _ := send(t, http.MethodPost, url+"/any/x", "order")
+		is.Equal(response.StatusCode, status)
+		is.Equal(response.Header.Get(entry.HeaderOutcome), string(entry.OutcomeAnswered))
+		is.Equal(runs, 1)
+	}
+}
