--- a/journal/errors.go
+++ b/journal/errors.go
@@ -52,9 +52,11 @@
 	OperationRename        Operation = "rename"
 	OperationRemove        Operation = "remove"
 	OperationSyncDirectory Operation = "sync directory"
+	OperationOpen          Operation = "open"
+	OperationRead          Operation = "read"
 )
 
-// IOError reports a failed file system operation after which the state on disk is unknown.
+// IOError reports a failed file system operation. If the operation modifies the disk, the state on disk is unknown.
 type IOError struct {
 	Operation Operation
 	Path      string
@@ -107,6 +109,14 @@
 	return fmt.Sprintf("%d of %d bytes written", e.Written, e.Given)
 }
 
+// IsRefused reports whether an error means that the file system refused an operation, which a later attempt may not
+// find: *FullError or *IOError. All other errors describe the stored data or the call.
+func IsRefused(err error) bool {
+	var full *FullError
+	var failed *IOError
+	return errors.As(err, &full) || errors.As(err, &failed)
+}
+
 // wrapWriteError wraps the error of a modifying operation in *FullError or *IOError.
 func wrapWriteError(op Operation, path string, err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
--- a/journal/faultfs/file.go
+++ b/journal/faultfs/file.go
@@ -1,7 +1,6 @@
 package faultfs
 
 import (
-	"bytes"
 	"errors"
 
 	"github.com/primrosebeam/primrosebeam/journal"
@@ -36,7 +35,7 @@
 	if err := f.fs.injectFault(Step{Operation: journal.OperationTruncate, Path: f.path}); err != nil {
 		return err
 	}
-	f.node.data = f.node.data[:size]
+	f.node.truncate(int(size))
 	return nil
 }
 
@@ -44,9 +43,12 @@
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if err := f.fs.injectFault(Step{Operation: journal.OperationSync, Path: f.path}); err != nil {
+		if f.fs.failedSync != FailedSyncKeepsWrites {
+			f.node.lose(f.fs.failedSync == FailedSyncDiscards)
+		}
 		return err
 	}
-	f.node.synced = bytes.Clone(f.node.data)
+	f.node.sync()
 	return nil
 }
 
--- a/journal/filesystem.go
+++ b/journal/filesystem.go
@@ -134,3 +134,22 @@
 	}
 	return nil, err
 }
+
+const probeName = "probe" + temporarySuffix
+
+// Probe creates, writes, syncs and removes a small file in a directory. It returns *FullError or *IOError if the file
+// system refuses any of that. nil means OS.
+func Probe(files FileSystem, directory string) error {
+	if files == nil {
+		files = OS{}
+	}
+	path := filepath.Join(directory, probeName)
+	if err := writeSynced(files, path, []byte{0}); err != nil {
+		_ = files.Remove(path) // Open removes a remaining file.
+		return err
+	}
+	if err := files.Remove(path); err != nil {
+		return &IOError{Operation: OperationRemove, Path: path, Err: err}
+	}
+	return nil
+}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -4,6 +4,10 @@
 // A record is durable once a call of Sync after its Append has succeeded. Open truncates an incomplete
 // tail that a crash has left; damage to durable records is reported as *CorruptError. A Journal must be
 // used by one goroutine.
+//
+// Invariant: whatever Open finds is durable when it returns. A file system may mark what it failed to write as clean, so
+// that a file reads as written, and a sync of it succeeds, although the disk does not hold its content. Therefore Open
+// writes a new file instead of syncing one whose content it does not know to be durable.
 package journal
 
 import (
@@ -47,7 +51,7 @@
 
 	failure error // *IOError or *ClosedError that every call returns
 	noSpace error // *FullError that every write returns
-	uncut   bool  // after noSpace the active segment may hold more than its durable part
+	uncut   bool  // after a refused write the active segment may hold more than its durable part
 }
 
 // First returns the lowest stored sequence, or Last()+1 if no record is stored.
@@ -77,9 +81,9 @@
 }
 
 // Sync makes all appended records durable. If it returns *FullError, the records appended since the last
-// successful Sync are discarded and later writes are refused; reading remains possible. See CutBack. If it returns
+// successful Sync are discarded and later writes are refused; reading remains possible. If it returns
 // *IOError, all later calls return the same error, because the operating system may have dropped the
-// unwritten pages and a second sync would not report that.
+// unwritten pages and a second sync would not report that. In both cases the journal has to be opened again; see CutBack.
 func (j *Journal) Sync() error {
 	if err := j.checkWritable(); err != nil {
 		return err
@@ -99,23 +103,16 @@
 	return nil
 }
 
-// CutBack removes from the disk what is not durable after *FullError. The journal must not be opened again in the same
-// run of the system before it has succeeded: after a failed sync a later one may succeed although the records that it
-// should have written are in the cache only. It returns *FullError while the disk is still full, or *IOError.
+// CutBack removes the records that a refused write or sync has left in the active segment, so that they are not found
+// when the journal is opened again; Open is safe without it and keeps them. It returns *FullError or *IOError while the
+// file system refuses that, and may be called again.
 func (j *Journal) CutBack() error {
-	if !j.uncut {
+	var closed *ClosedError
+	if !j.uncut || errors.As(j.failure, &closed) {
 		return nil
 	}
-	if j.failure != nil {
-		return j.failure
-	}
 	if err := j.truncateActive(j.durableBytes, j.durable); err != nil {
-		err = wrapWriteError(OperationTruncate, j.activeSegment().path, err)
-		var full *FullError
-		if !errors.As(err, &full) {
-			return j.setFailed(err)
-		}
-		return err
+		return wrapWriteError(OperationTruncate, j.activeSegment().path, err)
 	}
 	j.uncut = false
 	return nil
@@ -163,7 +160,7 @@
 }
 
 func (j *Journal) replaySegment(s segment, from Sequence, fn func(Sequence, []byte) error) error {
-	data, err := j.files.ReadFile(s.path)
+	data, err := j.readFile(s.path)
 	if err != nil {
 		return err
 	}
@@ -185,6 +182,15 @@
 	return nil
 }
 
+// readFile reads a whole file. It returns *IOError.
+func (j *Journal) readFile(path string) ([]byte, error) {
+	data, err := j.files.ReadFile(path)
+	if err != nil {
+		return nil, &IOError{Operation: OperationRead, Path: path, Err: err}
+	}
+	return data, nil
+}
+
 func (j *Journal) activeSegment() *segment { return &j.segments[len(j.segments)-1] }
 
 // checkWritable returns the error that a write must return because of an earlier failure, or nil.
@@ -242,14 +248,14 @@
 // that finds the disk full as well, and the journal stays readable; for any other error all later calls fail.
 func (j *Journal) rejectWrites(err error) error {
 	var full *FullError
+	j.pending = nil
+	j.uncut = true
 	if !errors.As(err, &full) {
 		return j.setFailed(err)
 	}
 	j.noSpace = err
-	j.pending = nil
-	j.uncut = true
 	if cutErr := j.CutBack(); cutErr != nil && !errors.As(cutErr, &full) {
-		return cutErr
+		return j.setFailed(cutErr)
 	}
 	return err
 }
--- a/journal/open.go
+++ b/journal/open.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"errors"
 	"path/filepath"
 	"strings"
 )
@@ -20,9 +21,14 @@
 	if err := j.files.MakeDirectory(j.directory); err != nil {
 		return nil, wrapWriteError(OperationCreate, j.directory, err)
 	}
-	lock, err := j.files.Lock(filepath.Join(j.directory, lockName))
+	lockPath := filepath.Join(j.directory, lockName)
+	lock, err := j.files.Lock(lockPath)
 	if err != nil {
-		return nil, err
+		var locked *LockedError
+		if errors.As(err, &locked) {
+			return nil, err
+		}
+		return nil, wrapWriteError(OperationOpen, lockPath, err)
 	}
 	j.lock = lock
 	if err := j.load(); err != nil {
@@ -38,15 +44,31 @@
 func (j *Journal) load() error {
 	names, err := j.files.List(j.directory)
 	if err != nil {
-		return err
+		return &IOError{Operation: OperationRead, Path: j.directory, Err: err}
 	}
 	if err := j.removeTemporary(names); err != nil {
 		return err
 	}
-	if err := j.loadSnapshot(names); err != nil {
+	snapshot, older, err := j.loadSnapshot(names)
+	if err != nil {
+		return err
+	}
+	covered, err := j.loadSegments(listSequences(names, segmentPrefix))
+	if err != nil {
 		return err
 	}
-	if err := j.loadSegments(listSequences(names, segmentPrefix)); err != nil {
+	if j.snapshot > 0 {
+		// The name of the snapshot must be durable before anything that it replaces is removed.
+		if err := WriteFileAtomic(j.files, j.snapshotPath(j.snapshot), encodeSnapshot(j.snapshot, snapshot)); err != nil {
+			return err
+		}
+	}
+	for _, s := range older {
+		if err := j.removeSnapshot(s); err != nil {
+			return err
+		}
+	}
+	if err := j.removeSegments(covered); err != nil {
 		return err
 	}
 	return j.finishLoad()
@@ -65,58 +87,59 @@
 	return nil
 }
 
-// loadSegments verifies the segments that the snapshot does not fully cover and removes the covered ones.
-func (j *Journal) loadSegments(firsts []Sequence) error {
-	covered := 0
-	for covered+1 < len(firsts) && firsts[covered+1] <= j.snapshot+1 {
-		covered++
-	}
-	for i, first := range firsts[covered:] {
-		isLast := covered+i == len(firsts)-1
-		if err := j.loadSegment(j.segmentAt(first), isLast); err != nil {
-			return err
+// loadSegments verifies the segments that the snapshot does not fully cover and returns the covered ones.
+func (j *Journal) loadSegments(firsts []Sequence) (covered []segment, err error) {
+	count := 0
+	for count+1 < len(firsts) && firsts[count+1] <= j.snapshot+1 {
+		covered = append(covered, j.segmentAt(firsts[count]))
+		count++
+	}
+	var data []byte
+	for i, first := range firsts[count:] {
+		isLast := count+i == len(firsts)-1
+		data, err = j.loadSegment(j.segmentAt(first), isLast)
+		if err != nil {
+			return nil, err
 		}
 	}
-	if err := j.openActiveSegment(); err != nil {
-		return err
-	}
-	old := make([]segment, 0, covered)
-	for _, first := range firsts[:covered] {
-		old = append(old, j.segmentAt(first))
-	}
-	return j.removeSegments(old)
+	return covered, j.openActiveSegment(data)
 }
 
-func (j *Journal) loadSegment(s segment, isLast bool) error {
+// loadSegment verifies a segment and returns the content of its file.
+func (j *Journal) loadSegment(s segment, isLast bool) ([]byte, error) {
 	expected := j.snapshot + 1
 	if len(j.segments) > 0 {
 		expected = j.activeSegment().last + 1
 	}
 	isFirst := len(j.segments) == 0
 	if s.first > expected || (!isFirst && s.first != expected) {
-		return &CorruptError{Path: s.path, Reason: ReasonGap}
+		return nil, &CorruptError{Path: s.path, Reason: ReasonGap}
 	}
-	data, err := j.files.ReadFile(s.path)
+	data, err := j.readFile(s.path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if isLast && headerIsTorn(data) {
-		return j.createSegment(s.first) // Its creation was interrupted, so it holds no record.
+		// Its creation was interrupted, so it holds no record. Its name need not be durable.
+		if err := j.files.Remove(s.path); err != nil {
+			return nil, &IOError{Operation: OperationRemove, Path: s.path, Err: err}
+		}
+		return nil, j.createSegment(s.first)
 	}
 	found, damaged, err := s.scan(data, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if damaged && !(isLast && isTorn(data, int(found.bytes), found.last+1)) {
-		return &CorruptError{Path: s.path, Offset: found.bytes, Reason: ReasonBadRecord}
+		return nil, &CorruptError{Path: s.path, Offset: found.bytes, Reason: ReasonBadRecord}
 	}
 	j.segments = append(j.segments, found)
-	return nil
+	return data, nil
 }
 
-// openActiveSegment opens the last segment and truncates a torn tail, or creates the first segment of a new
-// journal.
-func (j *Journal) openActiveSegment() error {
+// openActiveSegment opens the last segment, of which data is the content, and truncates a torn tail, or creates the first
+// segment of a new journal.
+func (j *Journal) openActiveSegment(data []byte) error {
 	if j.active != nil {
 		return nil
 	}
@@ -127,16 +150,17 @@
 		return j.createSegment(1)
 	}
 	active := j.activeSegment()
+	// The records found here, and the name of the file, may exist only in the cache. All earlier segments are durable,
+	// since a segment is created after the one before it was synced.
+	if err := WriteFileAtomic(j.files, active.path, data[:active.bytes]); err != nil {
+		return err
+	}
 	file, err := j.files.Append(active.path)
 	if err != nil {
-		return err
+		return &IOError{Operation: OperationOpen, Path: active.path, Err: err}
 	}
 	j.active = file
-	// If only the process was killed, the records found here may exist only in the page cache, so they are
-	// synced before they are used. The truncation must be durable before the sequence numbers are used again.
-	if err := j.truncateActive(active.bytes, active.last); err != nil {
-		return wrapWriteError(OperationTruncate, active.path, err)
-	}
+	j.last, j.durable, j.durableBytes = active.last, active.last, active.bytes
 	return nil
 }
 
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -149,7 +149,7 @@
 // truncateActiveAfter removes the records after s from the active segment.
 func (j *Journal) truncateActiveAfter(s Sequence) error {
 	active := j.activeSegment()
-	data, err := j.files.ReadFile(active.path)
+	data, err := j.readFile(active.path)
 	if err != nil {
 		return err
 	}
@@ -192,27 +192,19 @@
 	return j.removeSegments(old)
 }
 
-// loadSnapshot verifies the newest snapshot and removes the older ones.
-func (j *Journal) loadSnapshot(names []string) error {
+// loadSnapshot verifies the newest snapshot and returns its data and the older ones, which it replaces.
+func (j *Journal) loadSnapshot(names []string) (data []byte, older []Sequence, err error) {
 	sequences := listSequences(names, snapshotPrefix)
 	if len(sequences) == 0 {
-		return nil
+		return nil, nil, nil
 	}
 	newest := sequences[len(sequences)-1]
-	if _, err := j.readSnapshot(newest); err != nil {
-		return err
+	data, err = j.readSnapshot(newest)
+	if err != nil {
+		return nil, nil, err
 	}
 	j.snapshot = newest
-	// The rename of the newest snapshot must be durable before an older one is removed.
-	if err := syncDirectory(j.files, j.directory); err != nil {
-		return err
-	}
-	for _, s := range sequences[:len(sequences)-1] {
-		if err := j.removeSnapshot(s); err != nil {
-			return err
-		}
-	}
-	return nil
+	return data, sequences[:len(sequences)-1], nil
 }
 
 func (j *Journal) removeSnapshot(s Sequence) error {
@@ -225,7 +217,7 @@
 
 func (j *Journal) readSnapshot(s Sequence) ([]byte, error) {
 	path := j.snapshotPath(s)
-	content, err := j.files.ReadFile(path)
+	content, err := j.readFile(path)
 	if err != nil {
 		return nil, err
 	}
