Return a replica to the log after any refused write

Cause: a replica returned only after the errors that mean "no space" (ENOSPC, EDQUOT).

Errors of the state machine still end its part. Log lines and counters say when it leaves, tries and returns (storage_failures_total, reopen_attempts_total, reopens_total).

--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -17,7 +17,9 @@
 	rejectedMessages *metrics.Counter
 	unsentMessages   *metrics.Counter
 	compactions      *metrics.Counter
-	reopens          *metrics.Counter
+	storageFailures  *metrics.Counter // times that the replica left the log since its storage failed
+	reopenAttempts   *metrics.Counter
+	reopens          *metrics.Counter // times that it returned
 	commitSeconds    *metrics.Histogram
 	syncSeconds      *metrics.Histogram
 	logBytes         atomic.Int64 // size of the commands applied since the last compaction
@@ -35,6 +37,8 @@
 		rejectedMessages: set.GetOrCreateCounter(name("messages_refused_total")),
 		unsentMessages:   set.GetOrCreateCounter(name("messages_unsent_total")),
 		compactions:      set.GetOrCreateCounter(name("compactions_total")),
+		storageFailures:  set.GetOrCreateCounter(name("storage_failures_total")),
+		reopenAttempts:   set.GetOrCreateCounter(name("reopen_attempts_total")),
 		reopens:          set.GetOrCreateCounter(name("reopens_total")),
 		commitSeconds:    set.GetOrCreateHistogram(name("commit_seconds")),
 		syncSeconds:      set.GetOrCreateHistogram(name("sync_seconds")),
--- a/internal/replica/reopen.go
+++ b/internal/replica/reopen.go
@@ -1,72 +1,94 @@
 package replica
 
 import (
-	"errors"
 	"time"
 
 	"github.com/primrosebeam/primrosebeam/journal"
 )
 
-// reopenInterval is the interval at which a replica whose disk was full tries to write to it. Each attempt reads the
-// journal.
+// reopenInterval is the interval at which a replica whose storage refused an operation tries to open it again.
 const reopenInterval = 500 * time.Millisecond
 
-// reopen returns a replica that found its disk full to the log once a write succeeds. It continues like a replica that
-// was restarted: from what its disk holds, which the journal has cut back to what was durable, so that it has promised
-// nothing else. The state machine stays as it is.
+// storageFailure is a refusal of the storage that keeps the replica out of the log, until it has opened it again.
+type storageFailure struct {
+	err      error // of the last attempt
+	since    time.Time
+	attempts int
+	retryAt  time.Time
+}
+
+// suspend ends the participation in the log until reopen succeeds. After a refused write or sync the content of the disk
+// is unknown, so another vote or acknowledgement could promise something that a restart does not find.
+func (r *Replica) suspend(err error) {
+	now := time.Now()
+	r.suspended = &storageFailure{err: err, since: now, retryAt: now.Add(reopenInterval)}
+	r.instruments.storageFailures.Inc()
+	r.fail(err, "storage failed; the replica takes no part in the log until it has opened it again")
+}
+
+// reopen returns a suspended replica to the log once its storage works. It continues like a replica that was restarted:
+// from what its disk holds, which is durable once the journal is open. The state machine stays as it is.
 //
 // Invariant: what was applied is durable, since entries are persisted before they are applied.
 func (r *Replica) reopen(now time.Time) {
-	var full *journal.FullError
-	if !errors.As(r.failure, &full) || now.Before(r.reopenAt) {
+	f := r.suspended
+	if f == nil || now.Before(f.retryAt) {
 		return
 	}
-	r.reopenAt = now.Add(reopenInterval)
-	if err := r.store.journal.CutBack(); err != nil {
-		if !errors.As(err, &full) {
-			r.failure = err
-			r.logger.Error().Err(err).Msg("what the full disk holds is not known; the replica takes no further part")
-		}
-		return
-	}
-	if err := r.store.close(); err != nil && !errors.As(err, &full) {
-		r.logger.Warn().Err(err).Msg("closing the journal failed")
-	}
-	s, err := openStore(r.options.journalOptions(), r.options.Instance, r.options.NewIncarnation)
+	f.retryAt = now.Add(reopenInterval)
+	f.attempts++
+	r.instruments.reopenAttempts.Inc()
+	s, err := r.openAgain()
 	if err != nil {
-		r.logger.Debug().Err(err).Msg("the journal could not be opened again")
-		return
-	}
-	if err := s.confirmWritable(); err != nil {
-		r.logger.Debug().Err(err).Msg("the disk is still full")
-		r.store = s // it has to cut back what it wrote
-		if !errors.As(err, &full) {
-			r.failure = err
-			r.logger.Error().Err(err).Msg("storage failed; the replica takes no further part")
+		event := r.logger.Debug()
+		if f.attempts == 1 || err.Error() != f.err.Error() {
+			event = r.logger.Warn()
 		}
+		event.Err(err).Int("attempts", f.attempts).Msg("the log could not be opened again; retrying")
+		f.err, r.failure = err, err
 		return
 	}
-	former := r.store
 	r.store = s
 	if err := r.startNode(); err != nil {
-		r.store = former
-		_ = s.close() // nothing is pending
-		r.failure = err
-		r.logger.Error().Err(err).Msg("the journal does not fit the log; the replica takes no further part")
+		r.suspended = nil
+		r.fail(err, "what the disk holds does not fit the log; the replica takes no further part")
 		return
 	}
-	r.failure = nil
+	r.suspended, r.failure = nil, nil
 	r.leadingTerm = 0
 	r.lastTick = now
 	r.appliedSinceCompaction = 0
 	r.instruments.logBytes.Store(0)
 	r.instruments.reopens.Inc()
 	r.node.SetJoinPeers(r.joined)
-	r.logger = r.options.Logger.With().Str("duty", "replica").Stringer("replica", s.identity).Logger()
-	r.logger.Info().Uint64("applied", r.appliedIndex).Uint64("last", r.node.Status().Last).Msg("the disk has room again; the replica takes part")
+	r.logger.Info().Dur("out", now.Sub(f.since)).Int("attempts", f.attempts).Uint64("applied", r.appliedIndex).
+		Uint64("last", r.node.Status().Last).Msg("the storage works again; the replica takes part in the log")
+}
+
+// openAgain closes the store, opens it again and confirms that it can be written to.
+func (r *Replica) openAgain() (*store, error) {
+	if r.store != nil {
+		// Before the journal is read, which takes longer, these writes find out whether the storage still refuses them.
+		if err := journal.Probe(r.options.Files, r.options.Directory); err != nil {
+			return nil, err
+		}
+		if err := r.store.journal.CutBack(); err != nil {
+			return nil, err
+		}
+		_ = r.store.close() // It reports the failure again.
+	}
+	s, err := openStore(r.options.journalOptions(), r.options.Instance, r.options.NewIncarnation)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.confirmWritable(); err != nil {
+		_ = s.close() // It reports the failure again.
+		return nil, err
+	}
+	return s, nil
 }
 
-// confirmWritable writes the hard state once more and syncs it. It fails while the disk is full.
+// confirmWritable writes the hard state once more and syncs it.
 func (s *store) confirmWritable() error {
 	hard := s.hardState
 	if err := s.write(journalRecord{Hard: &hard}); err != nil {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -5,7 +5,7 @@
 // State is a copy of the replica's state, for dumps and metrics.
 type State struct {
 	Node          consensus.Status
-	Failed        string // storage error; empty while the storage works
+	Failed        string // why the replica takes no part in the log; empty while it does
 	AppliedIndex  uint64
 	Proposals     int    // number of proposals that are not committed yet
 	Reads         int    // number of read groups that are not confirmed or not applied yet
@@ -29,13 +29,13 @@
 	return s.LeaderID.Instance, true
 }
 
-// Identity returns the identity stored on this replica's disk, which an operator needs to add the replica.
+// Identity returns the identity stored on this replica's disk, which an operator needs to add the replica. It is zero
+// until the journal could be opened.
 func (r *Replica) Identity() consensus.ID { return r.state.Load().Node.Self }
 
 // publishState makes the current state visible to State, Leader and Identity.
 func (r *Replica) publishState() {
 	s := &State{
-		Node:         r.node.Status(),
 		AppliedIndex: r.appliedIndex,
 		Proposals:    len(r.proposals),
 		Reads:        len(r.reads),
@@ -43,7 +43,9 @@
 		CallQueue:    r.calls.Len(),
 		CompactedAgo: r.appliedSinceCompaction,
 		LeadsTerm:    r.leadingTerm,
-		LeaderID:     r.node.Leader(),
+	}
+	if r.node != nil {
+		s.Node, s.LeaderID = r.node.Status(), r.node.Leader()
 	}
 	if r.failure != nil {
 		s.Failed = r.failure.Error()
