--- a/internal/replica/reopen.go
+++ b/internal/replica/reopen.go
@@ -27,9 +27,10 @@
 }
 
 // reopen returns a suspended replica to the log once its storage works. It continues like a replica that was restarted:
-// from what its disk holds, which is durable once the journal is open. The state machine stays as it is.
+// from what its disk holds, which is durable once the journal is open. The state machine stays as it is, or is restored
+// from a snapshot that was stored just before the failure.
 //
-// Invariant: what was applied is durable, since entries are persisted before they are applied.
+// Invariant: what was applied is durable, since entries and snapshots are persisted before they are applied.
 func (r *Replica) reopen(now time.Time) {
 	f := r.suspended
 	if f == nil || now.Before(f.retryAt) {
@@ -49,7 +50,7 @@
 		return
 	}
 	r.store = s
-	if err := r.startNode(); err != nil {
+	if err := r.restore(); err != nil {
 		r.suspended = nil
 		r.fail(err, "what the disk holds does not fit the log; the replica takes no further part")
 		return
--- a/internal/replica/reopen_test.go
+++ b/internal/replica/reopen_test.go
@@ -299,3 +299,27 @@
 		}
 	}
 }
+
+// Guards against a state machine that lacks the commands of a snapshot which was received and stored before a failure:
+// the replica returns with a log that begins after them.
+func TestReturnedReplicaRestoresReceivedSnapshot(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, func(o *Options) { o.CompactEntries = 20; o.KeepEntries = 5 }, "a", "b", "c")
+	disk := faultfs.New()
+	c.members["c"].files = disk
+	c.startAll()
+	c.commit("first")
+	c.waitConverged()
+	c.setIsolated("c", true)
+	for i := range 50 {
+		c.commit(fmt.Sprint(i))
+	}
+	disk.SetFault(refuse(syscall.ENOSPC, journal.OperationSyncDirectory))
+	c.setIsolated("c", false)
+	c.waitFor("the failure is noticed", func() bool { return c.members["c"].replica.State().Failed != "" })
+	disk.SetFault(nil)
+	c.waitFor("the replica takes part", func() bool { return c.members["c"].replica.State().Failed == "" })
+	c.commit("last")
+	c.waitConverged()
+	is.Equal(c.members["c"].machine.list(), c.members["a"].machine.list())
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -56,7 +56,7 @@
 	}
 	r := &Replica{
 		options:   o,
-		logger:    o.Logger.With().Str("duty", "replica").Logger(),
+		logger:    o.Logger.With().Str("duty", "replica").Str("instance", o.Instance).Logger(),
 		messages:  ring.New[receivedMessage](o.RingCapacity),
 		calls:     ring.New[*call](o.RingCapacity),
 		stopped:   make(chan struct{}),
@@ -78,9 +78,9 @@
 	return r, nil
 }
 
-// restore applies the stored snapshot to the state machine and starts the node.
+// restore applies the stored snapshot to the state machine, unless it holds more already, and starts the node.
 func (r *Replica) restore() error {
-	if snapshot := r.store.snapshot; snapshot != nil {
+	if snapshot := r.store.snapshot; snapshot != nil && snapshot.Index > r.appliedIndex {
 		if err := r.options.StateMachine.Restore(snapshot.Data); err != nil {
 			return err
 		}
@@ -89,6 +89,7 @@
 	if err := r.startNode(); err != nil {
 		return err
 	}
+	r.logger = r.options.Logger.With().Str("duty", "replica").Stringer("replica", r.store.identity).Logger()
 	r.publishState()
 	return nil
 }
