Start a control instance while its storage refuses operations

What operators saw: a control process that was killed while its writes were refused ended at once when it was started again, and needed somebody to start it until they succeeded. Meanwhile it relayed nothing and knew no engines either.

Result: TestRestartsWhileWritesAreRefused (processes; one of them with an empty disk) failed with "no such process" before; it and TestReplicaStartsWhileWritesAreRefused pass now.

--- a/internal/replica/reopen_test.go
+++ b/internal/replica/reopen_test.go
@@ -300,6 +300,40 @@
 	}
 }
 
+// Guards against a replica that cannot start while its storage refuses operations, on an empty disk or with a log.
+func TestReplicaStartsWhileWritesAreRefused(t *testing.T) {
+	for _, empty := range []bool{true, false} {
+		t.Run(fmt.Sprintf("empty disk %t", empty), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, func(o *Options) { o.CompactEntries = 20; o.KeepEntries = 5 }, "a", "b", "c")
+			disk := faultfs.New()
+			c.members["a"].files = disk
+			if !empty {
+				c.startAll()
+				for i := range 30 {
+					c.commit(fmt.Sprint(i))
+				}
+				c.waitConverged()
+				is.NoErr(c.stop("a"))
+			}
+			disk.SetFault(refuse(syscall.EROFS, journal.OperationCreate, journal.OperationWrite, journal.OperationSync, journal.OperationRename))
+			c.start("a")
+			if empty {
+				c.start("b")
+				c.start("c")
+			}
+			var failed *StorageFailedError
+			is.True(asError(c.members["a"].replica.Barrier(context.Background()), &failed))
+			time.Sleep(2 * reopenInterval)
+			is.True(c.members["a"].replica.State().Failed != "")
+			disk.SetFault(nil)
+			c.waitFor("the replica takes part", func() bool { return c.members["a"].replica.State().Failed == "" })
+			c.commit("last")
+			c.waitConverged()
+		})
+	}
+}
+
 // Guards against a state machine that lacks the commands of a snapshot which was received and stored before a failure:
 // the replica returns with a log that begins after them.
 func TestReturnedReplicaRestoresReceivedSnapshot(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -49,7 +49,8 @@
 }
 
 // New opens the data folder, restores the state machine from the snapshot and prepares the replay of the
-// entries after it. It returns *OptionsError, *IdentityError, *RecordError, or an error of the journal or the state machine.
+// entries after it. If the file system refuses that, the replica starts without taking part in the log and Run tries
+// again. New returns *OptionsError, *IdentityError, *RecordError, or an error of the journal or the state machine.
 func New(o Options) (*Replica, error) {
 	if err := o.setDefaults(); err != nil {
 		return nil, err
@@ -64,11 +65,15 @@
 		reads:     map[uint64]*readGroup{},
 	}
 	s, err := openStore(o.journalOptions(), o.Instance, o.NewIncarnation)
-	if err != nil {
+	if err != nil && !journal.IsRefused(err) {
 		return nil, err
 	}
 	r.state.Store(&State{})
 	r.instruments = newInstruments(o.Metrics, o.Instance, r.state.Load)
+	if err != nil {
+		r.suspend(err)
+		return r, nil
+	}
 	r.store = s
 	if err := r.restore(); err != nil {
 		r.instruments.close()
--- a/soak/refused_writes_test.go
+++ b/soak/refused_writes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -200,3 +201,25 @@
 	}
 	o.check(t)
 }
+
+// TestRestartsWhileWritesAreRefused guards against a control instance that does not return if its process is killed, or
+// starts for the first time, while its writes are refused.
+func TestRestartsWhileWritesAreRefused(t *testing.T) {
+	s, o, stop := startControl(t)
+	for i, p := range s.control() {
+		s.setWritesRefused(p, true)
+		time.Sleep(refusedTime / 2)
+		p.stop(syscall.SIGKILL)
+		if i == 1 { // its disk is lost as well
+			s.must(p.deleteData())
+		}
+		s.start(p, false)
+		s.setWritesRefused(p, true)
+		time.Sleep(refusedTime)
+		s.setWritesRefused(p, false)
+		s.waitForVoters(t, returnTimeout)
+	}
+	stop()
+	o.replace()
+	o.check(t)
+}
