Save the configuration again after a refused write

Cause: an instance of the product's own path saves the version in force for a start without neighbours. After a refused write the file held the version before it until the next change, however long that took. The folder was created at the start only, where a refusal ended the process.

Change: a version that could not be saved is saved again when the subscription is renewed; the folder is created with the file.

--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 
@@ -32,9 +31,6 @@
 	folderControl = "control"
 )
 
-// folderMode excludes other users, since the data folder holds a secret.
-const folderMode = 0o700
-
 // maxFrameBytes is large enough for a complete configuration document and the message around it.
 const maxFrameBytes = configuration.MaxDocumentBytes + 64<<10
 
@@ -237,9 +233,6 @@
 	directory := ""
 	if i.options.DataFolder != "" {
 		directory = filepath.Join(i.options.DataFolder, folderControl)
-		if err := os.MkdirAll(directory, folderMode); err != nil {
-			return fmt.Errorf("instance: data folder: %w", err)
-		}
 	}
 	built, err := control.New(control.Options{
 		Name:        i.options.Name,
--- a/internal/control/file.go
+++ b/internal/control/file.go
@@ -61,9 +61,15 @@
 	return version, document, nil
 }
 
+// directoryMode excludes other users from the directory, which is created with the first file.
+const directoryMode = 0o700
+
 // saveVersion replaces the file atomically: it writes and syncs a temporary file, renames it and syncs the
 // directory.
 func saveVersion(directory string, payload []byte) (err error) {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return fmt.Errorf("control: save version: %w", err)
+	}
 	data := make([]byte, 0, fileHeaderBytes+len(payload))
 	data = append(data, fileMagic...)
 	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(payload))
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -42,6 +42,7 @@
 	replica     string // replica with the subscription; empty when none is reachable
 	leaderKnown bool   // whether one of the replicas that replied last knows a leader
 	renewals    int    // number of renewals so far
+	unsaved     []byte // compressed document in force that could not be saved
 	checkCount  int    // number of calls of checkOtherReplica
 
 	mu               sync.Mutex // guards the fields below, which other goroutines read
@@ -189,12 +190,14 @@
 // saveToDisk stores the version for the next start. A failure does not prevent the version from being put
 // in force, since the file is only needed when no other instance can be reached after a restart.
 func (s *subscriber) saveToDisk(version configuration.Version, payload []byte) {
+	s.unsaved = nil
 	if s.control.options.Directory == "" || payload == nil {
 		return
 	}
 	if err := saveVersion(s.control.options.Directory, payload); err != nil {
 		s.control.metrics.fileFailures.Inc()
-		s.control.options.Logger.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration not saved")
+		s.control.options.Logger.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration not saved; it is saved again when the subscription is renewed")
+		s.unsaved = payload
 	}
 }
 
@@ -219,6 +222,7 @@
 // back to the neighbours when no replica replies or no version is in force.
 func (s *subscriber) renew(ctx context.Context) {
 	s.renewals++
+	s.saveToDisk(s.version(), s.unsaved)
 	if s.replica != "" && s.subscribe(ctx, s.replica) {
 		if s.renewals%renewalsPerCheck == 0 || !s.leaderKnown {
 			s.checkOtherReplica(ctx)
--- a/internal/control/subscriber_test.go
+++ b/internal/control/subscriber_test.go
@@ -158,6 +158,27 @@
 	}
 }
 
+// Guards against a file that holds an older version until the next change, because one write of it was refused.
+func TestVersionIsSavedOnceWritesSucceed(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(inSyntheticTime(t, func(t *testing.T, net *fakeNetwork) error {
+		is := is.New(t)
+		blocker := filepath.Join(t.TempDir(), "data")
+		directory := filepath.Join(blocker, "control")
+		is.NoErr(os.WriteFile(blocker, nil, 0o600)) // the directory cannot be created
+		node := net.start(t, []Peer{{"r-bern", "bern"}}, "a", "bern", directory, nil)
+		payload, err := encodePayload(3, document(7, 1))
+		is.NoErr(err)
+		node.control.subscriber.applyIfNewer(3, document(7, 1), payload)
+		is.NoErr(os.Remove(blocker))
+		time.Sleep(30 * time.Second)
+		version, _, err := loadVersion(directory)
+		is.NoErr(err)
+		is.Equal(version, configuration.Version(3))
+		return nil
+	}))
+}
+
 func withChecksum(header, payload []byte) []byte {
 	data := append([]byte{}, header[:len(fileMagic)]...)
 	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(payload))
