Open the ledger again after refused writes

An owner whose files cannot be opened at the start answers each request with *ledger.UnavailableError until they can. Counters say how often it failed, tried and returned.

--- a/internal/claims/call.go
+++ b/internal/claims/call.go
@@ -60,6 +60,13 @@
 // process runs a batch with one sync for all records of its writes. Lookups run after that sync, so that
 // they return the outcomes stored in the same batch.
 func (o *Owner) process(batch []*call) {
+	if o.ledger == nil {
+		for _, c := range batch {
+			c.err = &ledger.UnavailableError{Err: o.failure}
+			o.finish(c)
+		}
+		return
+	}
 	now := o.clock.now()
 	o.runSynced(batch, now, func(c *call) bool { return c.operation != opLookup })
 	o.runSynced(batch, now, func(c *call) bool { return c.operation == opLookup })
--- a/internal/claims/identity.go
+++ b/internal/claims/identity.go
@@ -113,7 +113,7 @@
 		return identity{}, nil
 	}
 	if err != nil {
-		return identity{}, &IdentityError{Path: path, Reason: "not readable", Err: err}
+		return identity{}, &journal.IOError{Operation: journal.OperationRead, Path: path, Err: err}
 	}
 	i, err := decodeIdentity(path, data)
 	if err != nil {
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -18,7 +18,7 @@
 	JournalFirst    journal.Sequence `json:"journalFirst"`
 	JournalLast     journal.Sequence `json:"journalLast"`
 	BytesToSnapshot int64            `json:"bytesToSnapshot"`   // journal growth in bytes until the next snapshot
-	Failure         string           `json:"failure,omitempty"` // first error of the journal
+	Failure         string           `json:"failure,omitempty"` // first error of the journal; empty while it works
 	Freezes         int              `json:"freezes"`           // number of times the process was frozen
 	Snapshots       int              `json:"snapshots"`         // snapshots installed since the start
 	SnapshotsFailed int              `json:"snapshotsFailed"`   // snapshots failed since the start
@@ -36,15 +36,16 @@
 func (o *Owner) publish() {
 	s := State{
 		Name:            o.options.Name,
-		Ledger:          o.ledger.Stats(),
-		JournalFirst:    o.journal.First(),
-		JournalLast:     o.journal.Last(),
 		BytesToSnapshot: max(o.options.SnapshotBytes, snapshotGrowth*o.lastSnapshotBytes) - o.bytesSinceSnapshot,
 		Freezes:         o.freezes,
 		Snapshots:       o.snapshotCount,
 		SnapshotsFailed: o.snapshotsFailed,
 		PublishedAt:     time.Now(),
 	}
+	if o.ledger != nil {
+		s.Ledger = o.ledger.Stats()
+		s.JournalFirst, s.JournalLast = o.journal.First(), o.journal.Last()
+	}
 	if o.failure != nil {
 		s.Failure = o.failure.Error()
 	}
@@ -61,6 +62,8 @@
 	beginSeconds    *metrics.Histogram // from queueing to the reply
 	freezes         *metrics.Counter
 	failures        *metrics.Counter
+	reopenAttempts  *metrics.Counter
+	reopens         *metrics.Counter // times that the journal worked again
 }
 
 func newOwnerMetrics(set *metrics.Set, o *Owner) ownerMetrics {
@@ -76,6 +79,8 @@
 		beginSeconds:    set.GetOrCreateHistogram("primrosebeam_ledger_begin_seconds"),
 		freezes:         set.GetOrCreateCounter("primrosebeam_ledger_freezes_total"),
 		failures:        set.GetOrCreateCounter("primrosebeam_ledger_journal_failures_total"),
+		reopenAttempts:  set.GetOrCreateCounter("primrosebeam_ledger_journal_reopen_attempts_total"),
+		reopens:         set.GetOrCreateCounter("primrosebeam_ledger_journal_reopens_total"),
 	}
 	for op := range operationCount {
 		m.succeeded[op] = set.GetOrCreateCounter(requestsMetric(op, nil))
