Keep saved origins of streams through refused writes

Cause: three faults of the file that keeps, across restarts, which version began which stream. Each failed write began a new file, and only the two newest are kept, so that two failures removed the origins of the last hours. Records of a failed write were never written again. A file that could not be read or listed at the start was overwritten.

Change: a file without records is created again instead of a further one, and files go when their period is over. Records of a failed write are written again after 0.5 s. The number of a new file follows those in the folder.

Result: TestRefusedWritesKeepSavedOrigins (4 of 4 cases), TestUnreadableOriginFileIsNotOverwritten and TestOriginsAreSavedOnceWritesSucceed failed before and pass now. All three are about one thing, what a refused operation does to that file, hence one commit.

--- a/internal/core/originfile.go
+++ b/internal/core/originfile.go
@@ -20,7 +20,10 @@
 	// originHeaderBytes is the size of the header of a block: the length and the CRC-32 of the records that follow.
 	originHeaderBytes = 8
 	// keptOriginFiles is the number of files that hold the origins of origin.Retention: the current and the last one.
+	// Failed writes add files.
 	keptOriginFiles = 2
+	// maxOriginFiles bounds the files that a disk leaves which fails again and again.
+	maxOriginFiles = 8
 )
 
 // OriginFileError reports a file of origins that cannot be read or written.
@@ -33,13 +36,28 @@
 
 func (e *OriginFileError) Unwrap() error { return e.Cause }
 
+// OriginRemovalError reports a file of origins that is no longer needed and cannot be removed. Its removal is tried again
+// with the next file.
+type OriginRemovalError struct {
+	Path  string
+	Cause error
+}
+
+func (e *OriginRemovalError) Error() string { return "core: remove " + e.Path + ": " + e.Cause.Error() }
+
+func (e *OriginRemovalError) Unwrap() error { return e.Cause }
+
 // originFile keeps the origins of streams across restarts. After a failed write it continues with a new file. What is
 // lost only means that some streams cannot be taken up.
+//
+// Invariant: a file is removed only after a later one holds what was written since the one before it.
 type originFile struct {
 	files  journal.FileSystem
 	folder string
 	open   journal.File // nil before the first write and after a failure
 	number uint64       // of the newest file
+	period uint64       // number of the first file since the last rotation
+	isUsed bool         // whether the newest file holds records
 }
 
 // loadOrigins reads the origins that a former process has saved. The error describes the first file that could not be
@@ -55,7 +73,10 @@
 			continue
 		}
 		records = append(records, decodeOrigins(data)...)
-		f.number = number
+	}
+	if len(numbers) > 0 {
+		f.number, f.isUsed = numbers[len(numbers)-1], true
+		f.period = f.number
 	}
 	return f, records, err
 }
@@ -81,13 +102,15 @@
 	return numbers, nil
 }
 
-// append writes records durably. With rotate they begin a new file, and files that are no longer needed are removed.
+// append writes records durably. With rotate they begin a new file, and files that are no longer needed are removed. The
+// records are written if it returns *OriginRemovalError, and not if it returns *OriginFileError.
 func (f *originFile) append(records []origin.Record, rotate bool) error {
 	if rotate || f.open == nil {
 		if err := f.next(); err != nil {
 			return err
 		}
 	}
+	first := !f.isUsed
 	block, err := encodeOrigins(records)
 	if err == nil {
 		_, err = f.open.Write(block)
@@ -95,36 +118,62 @@
 	if err == nil {
 		err = f.open.Sync()
 	}
-	if err == nil {
+	if err != nil {
+		return &OriginFileError{Path: f.path(f.number), Cause: errors.Join(err, f.close())}
+	}
+	f.isUsed = true
+	if !first {
 		return nil
 	}
-	err = errors.Join(err, f.close())
-	return &OriginFileError{Path: f.path(f.number), Cause: err}
+	former := f.period
+	if rotate {
+		f.period = f.number
+		return f.removeBefore(former)
+	}
+	return f.removeBefore(0)
 }
 
-// next creates a file and removes those that are no longer needed.
+// next creates a file. It creates the newest one again if that holds no records.
 func (f *originFile) next() error {
 	if err := f.close(); err != nil {
 		return &OriginFileError{Path: f.path(f.number), Cause: err}
 	}
-	f.number++
+	numbers, err := f.list()
+	if err != nil {
+		return err
+	}
+	if len(numbers) > 0 && numbers[len(numbers)-1] > f.number { // it could not be listed at the start
+		f.number, f.isUsed = numbers[len(numbers)-1], true
+	}
+	if f.isUsed || f.number == 0 {
+		f.number++
+		f.isUsed = false
+	}
 	created, err := f.files.Create(f.path(f.number))
+	if err == nil {
+		f.open = created
+		err = f.files.SyncDirectory(f.folder)
+	}
 	if err != nil {
-		return &OriginFileError{Path: f.path(f.number), Cause: err}
+		return &OriginFileError{Path: f.path(f.number), Cause: errors.Join(err, f.close())}
 	}
-	f.open = created
+	return nil
+}
+
+// removeBefore removes the files before that with the given number, and the oldest of more than maxOriginFiles.
+func (f *originFile) removeBefore(first uint64) error {
 	numbers, err := f.list()
 	if err != nil {
-		return err
+		return &OriginRemovalError{Path: f.folder, Cause: err}
 	}
-	for _, number := range numbers[:max(len(numbers)-keptOriginFiles, 0)] {
+	for i, number := range numbers {
+		if number >= first && len(numbers)-i <= maxOriginFiles {
+			break
+		}
 		if err := f.files.Remove(f.path(number)); err != nil {
-			return &OriginFileError{Path: f.path(number), Cause: err}
+			return &OriginRemovalError{Path: f.path(number), Cause: err}
 		}
 	}
-	if err := f.files.SyncDirectory(f.folder); err != nil {
-		return &OriginFileError{Path: f.folder, Cause: err}
-	}
 	return nil
 }
 
--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	originBatchInterval = 20 * time.Millisecond
 	// originSaveInterval is the minimum interval between two writes of origins, each of which syncs the file.
 	originSaveInterval = 50 * time.Millisecond
+	// originRetryInterval is the pause after a failed write, whose records are then written again.
+	originRetryInterval = 500 * time.Millisecond
 	// originBatch is the maximum number of records of one message or write.
 	originBatch = 2048
 )
@@ -146,7 +149,8 @@
 	})
 }
 
-// saveRecords saves new records until ctx is cancelled. A failure is logged once until a later attempt succeeds.
+// saveRecords saves new records until ctx is cancelled. Records of a failed write are saved again. A failure is logged
+// once until a later attempt succeeds.
 func (o *origins) saveRecords(ctx context.Context) error {
 	failing := false
 	err := inBatches(ctx, o.saving, originSaveInterval, func(batch []savedOrigin) {
@@ -157,11 +161,17 @@
 			rotate = rotate || saved.rotate
 		}
 		err := o.file.append(records, rotate)
+		var notRemoved *OriginRemovalError
+		if errors.As(err, &notRemoved) {
+			o.core.options.Logger.Warn().Err(err).Msg("old origins of streams not removed")
+			err = nil
+		}
 		if err != nil {
 			o.saveFailures.Inc()
 			if !failing {
-				o.core.options.Logger.Warn().Err(err).Int("streams", len(records)).Msg("origins of streams not saved")
+				o.core.options.Logger.Warn().Err(err).Int("streams", len(records)).Msg("origins of streams not saved; retrying")
 			}
+			o.saveAgain(ctx, batch)
 		}
 		failing = err != nil
 	})
@@ -171,6 +181,19 @@
 	return err
 }
 
+// saveAgain queues records that were not saved, after originRetryInterval.
+func (o *origins) saveAgain(ctx context.Context, batch []savedOrigin) {
+	for _, saved := range batch {
+		if o.saving.Offer(saved) != nil {
+			o.dropped.Inc()
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(originRetryInterval):
+	}
+}
+
 // inBatches passes the elements of a ring to handle, at most originBatch at once and not more often than the interval.
 func inBatches[T any](ctx context.Context, in *ring.Ring[T], interval time.Duration, handle func([]T)) error {
 	for {
