--- a/internal/replica/reopen_test.go
+++ b/internal/replica/reopen_test.go
@@ -357,3 +357,57 @@
 	c.waitConverged()
 	is.Equal(c.members["c"].machine.list(), c.members["a"].machine.list())
 }
+
+// unreadableFiles refuses to read files and directories while isRefused is set.
+type unreadableFiles struct {
+	*faultfs.FS
+	isRefused *atomic.Bool
+}
+
+func (u unreadableFiles) ReadFile(path string) ([]byte, error) {
+	if u.isRefused.Load() {
+		return nil, syscall.EIO
+	}
+	return u.FS.ReadFile(path)
+}
+
+func (u unreadableFiles) List(path string) ([]string, error) {
+	if u.isRefused.Load() {
+		return nil, syscall.EIO
+	}
+	return u.FS.List(path)
+}
+
+// Guards against a replica that ends, or begins anew under another identity, because its storage takes writes and fails
+// reads when it starts or returns.
+func TestReplicaReturnsWhenStorageCanBeRead(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted %t", restarted), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, nil, "a", "b", "c")
+			disk := faultfs.New()
+			var isRefused atomic.Bool
+			c.members["a"].files = unreadableFiles{disk, &isRefused}
+			c.startAll()
+			c.commit("first")
+			c.waitConverged()
+			identity := c.members["a"].replica.Identity()
+			isRefused.Store(true)
+			if restarted {
+				is.NoErr(c.stop("a"))
+				c.start("a")
+			} else {
+				disk.SetFault(refuse(syscall.EIO, journal.OperationSync))
+			}
+			c.commit("second")
+			c.waitFor("the failure is noticed", func() bool { return c.members["a"].replica.State().Failed != "" })
+			disk.SetFault(nil)
+			time.Sleep(2 * reopenInterval)
+			is.True(c.members["a"].replica.State().Failed != "")
+			isRefused.Store(false)
+			c.waitFor("the replica takes part", func() bool { return c.members["a"].replica.State().Failed == "" })
+			is.Equal(c.members["a"].replica.Identity(), identity)
+			c.waitConverged()
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,8 +4,8 @@
 //
 //	go test ./soak -run TestSoak -seed 7 -for 60s
 //
-// It does not cover changes of the system clock, which need privileges that tests do not have, and failing
-// disks, which the tests of package journal cover in process.
+// It does not cover changes of the system clock, which need privileges that tests do not have. Disks fail by a limit
+// on the size of files; the tests of package journal cover other failures in process.
 package soak
 
 import (
@@ -73,6 +73,7 @@
 	runPhases(t, seed, func(s *system, w *workload) {
 		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
 		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
+		refuseWrites(s, w, rand.New(rand.NewPCG(seed, 6)))
 		repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
 		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
 	})
@@ -281,6 +282,49 @@
 	w.waitFor("service after crashes", recoveryTimeout, w.isServing)
 }
 
+// refuseWrites refuses the writes of control instances, of several at once too, kills some of them meanwhile, and checks
+// that all take part in the log afterwards. It has random numbers of its own.
+func refuseWrites(s *system, w *workload, random *rand.Rand) {
+	const refusedTime = 4 * time.Second
+	for deadline := time.Now().Add(refusedTime); time.Now().Before(deadline); {
+		p := s.control()[random.IntN(controlInstances)]
+		pause := time.Duration(200+random.IntN(1200)) * time.Millisecond
+		isKilled, atOnce := random.IntN(4) == 0, random.IntN(3) == 0
+		if !p.reserve() {
+			time.Sleep(pause / 4)
+			continue
+		}
+		s.setWritesRefused(p, true)
+		if isKilled {
+			time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			p.stop(syscall.SIGKILL)
+			s.start(p, false)
+			s.setWritesRefused(p, true)
+		}
+		w.runInBackground(func() { w.replaceConfiguration(false) })
+		s.scheduleRepair(pause, func() {
+			s.setWritesRefused(p, false)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.reserved = false
+		})
+		if !atOnce {
+			time.Sleep(pause)
+		}
+	}
+	s.waitForRepairs()
+	w.backgroundTasks.Wait()
+	w.waitFor("replicas after refused writes", recoveryTimeout, func() bool {
+		for _, p := range s.control() {
+			if !p.isVoter() {
+				return false
+			}
+		}
+		return true
+	})
+	w.waitFor("service after refused writes", recoveryTimeout, w.isServing)
+}
+
 // injectHerds injects faults that hit all processes or engines of one kind at once, one after the other: all entry
 // instances or all control instances are killed, or all engines refuse requests and ask for a rest. It has random
 // numbers of its own, so that the faults before it stay the same for a seed.
