Kill all control instances while their writes are refused

A test with processes for what the other two do not play: all writes refused, all processes killed and started again, then writes permitted. Passes; what was acknowledged is read back at each instance within the same bounds.

--- a/soak/refused_writes_test.go
+++ b/soak/refused_writes_test.go
@@ -186,6 +186,7 @@
 // writes were refused with an error other than that of a full disk: two of them leave the log without a quorum although
 // all disks work.
 func TestRefusedWritesOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	s, o, stop := startControl(t)
 	for range 2 {
 		for _, p := range s.control() {
@@ -205,6 +206,7 @@
 // TestRestartsWhileWritesAreRefused guards against a control instance that does not return if its process is killed, or
 // starts for the first time, while its writes are refused.
 func TestRestartsWhileWritesAreRefused(t *testing.T) {
+	t.Parallel()
 	s, o, stop := startControl(t)
 	for i, p := range s.control() {
 		s.setWritesRefused(p, true)
@@ -223,3 +225,36 @@
 	o.replace()
 	o.check(t)
 }
+
+// TestAllKilledWhileWritesAreRefused guards against control instances that do not find each other again, or have lost what
+// was acknowledged, when all processes are killed at once while all writes are refused.
+func TestAllKilledWhileWritesAreRefused(t *testing.T) {
+	t.Parallel()
+	s, o, stop := startControl(t)
+	time.Sleep(refusedTime)
+	for _, p := range s.control() {
+		s.setWritesRefused(p, true)
+	}
+	time.Sleep(refusedTime / 2)
+	for _, p := range s.control() {
+		p.stop(syscall.SIGKILL)
+	}
+	stop()
+	for _, p := range s.control() {
+		s.start(p, false)
+		s.setWritesRefused(p, true)
+	}
+	time.Sleep(refusedTime)
+	for _, p := range s.control() {
+		s.setWritesRefused(p, false)
+	}
+	s.waitForVoters(t, returnTimeout)
+	o.checkRead(t, "after the restart")
+	o.mu.Lock()
+	o.missed = nil // none can be acknowledged meanwhile
+	o.mu.Unlock()
+	for range 3 {
+		o.replace()
+	}
+	o.check(t)
+}
