Log whether the connection of a response had carried the same request before

An engine may repeat a refusal. The ID of the copy tells nothing if the connection has carried a request with the same ID before; the logs did not show whether it had. The log line of a request has 'repeated' now, and primrosebeam_repeated_refusals_total counts such refusals.

--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -74,7 +74,10 @@
 	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
 	x.answer = engineAnswer{
 		status: response.StatusCode, notExecuted: response.Header.Get(platform.HeaderNotExecuted) != "",
-		identified: x.responseBegun, reused: connection.reused.Load(),
+		identified: x.responseBegun, reused: connection.reused.Load(), repeated: connection.repeated.Load(),
+	}
+	if x.answer.repeated && x.answer.notExecuted {
+		x.edge.counters.repeatedRefusals.Inc()
 	}
 	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
@@ -159,6 +162,7 @@
 type engineConnection struct {
 	current   atomic.Pointer[net.Conn]
 	reused    atomic.Bool // it has carried other requests or calls before
+	repeated  atomic.Bool // one of these had the same ID
 	abandoned atomic.Bool // nothing was sent on it, since the engine may have started again
 	offered   atomic.Bool // the request may have been sent, on this connection or on an earlier one that it replaces
 }
@@ -184,6 +188,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection.current.Store(&info.Conn)
 			connection.reused.Store(info.Reused || wasAsked(info.Conn))
+			if c, ok := info.Conn.(*enginelink.Connection); ok {
+				connection.repeated.Store(c.Carry(x.id))
+			}
 			abandoned := x.needsListedStart(engine) && !x.edge.isListedStart(info.Conn, engine)
 			connection.abandoned.Store(abandoned)
 			if abandoned {
--- a/internal/enginelink/connection.go
+++ b/internal/enginelink/connection.go
@@ -15,6 +15,15 @@
 	Established boottime.Time
 	born        int64
 	abandoned   atomic.Bool
+	carried     carried
+}
+
+// Carry records that the connection carries a request with the given ID. It reports whether it has carried one with the
+// same ID before, so that the ID does not tell their responses apart.
+func (c *Connection) Carry(id string) (repeated bool) {
+	repeated = c.carried.has(id)
+	c.carried.add(id)
+	return repeated
 }
 
 // Born returns what the process has stated as its time of birth, or 0 if it was not asked.
