Send no two requests with one ID on a connection to an engine

Callers saw that a request had not run, and never would, while its engine ran it; those who came back had it run twice.

Cause: the ID that an engine repeats tells a response from those to other requests on the connection. Where the connection has carried a request with the same ID before, it tells nothing: the copy of an earlier refusal was taken for the response to the request under way. That happens when callers come back under their ID, and without them when the list has two engines at one address: the resend after a 421 went to the same address, on the same connection.

The pool of net/http can neither choose a connection by what it has carried nor hold one back until its response has been checked: one with a response without a body goes to the next request before. enginelink.Pool does both, on http.ClientConn. It keeps reusing connections; one that has carried an ID serves all other requests, a request that all idle ones have carried gets a new one.

Tests changed: two takes of one attempt in TestRequestReceivedBeforeRestartMayHaveRun have two IDs, as the second one would get a connection of its own. The tests of preventReplay now check the request that an engine gets and the connections of the pool. That of Abandon checks a sealed connection.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,7 +59,7 @@
 	directory      *directory.Reader
 	retries        *retryBudget
 	origins        *origins
-	transport      *http.Transport
+	pool           *enginelink.Pool // connections to engines
 	counters       *counters
 	configured     chan struct{} // closed when the first configuration is in force
 	configuredOnce sync.Once
@@ -81,11 +81,12 @@
 		counters: newCounters(o.Metrics), configured: make(chan struct{}), started: clock(),
 	}
 	e.giveUp, e.giveUpNow = context.WithCancel(context.Background())
-	e.transport = newTransport(enginelink.NewDialer(enginelink.DialerOptions{
+	dialer := enginelink.NewDialer(enginelink.DialerOptions{
 		Direct: o.DialEngine, Relays: e.relays, SharedKey: o.SharedKey, Logger: o.Logger, Metrics: o.Metrics,
-		OnIsolated: func() { e.transport.CloseIdleConnections() }, // they hang
+		OnIsolated: func() { e.pool.CloseIdle() }, // they hang
 		ReadBorn:   platform.ReadBorn,
-	}))
+	})
+	e.pool = newPool(dialer.DialContext, o.Metrics)
 	e.balancer = placement.NewBalancer(s.DataCentre, e.notices)
 	e.balancer.ShareAmong(e.entryCount)
 	node, err := o.NewLink(maxFrameBytes)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -71,7 +71,6 @@
 	notExecuted bool // it states that the engine did not run the request
 	identified  bool // it names the attempt
 	reused      bool // its connection has carried other requests before
-	repeated    bool // one of these had the same ID
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -44,7 +44,6 @@
 	brittle          *metrics.Counter
 	unsentGrants     *metrics.Counter
 	unprovenRefusals *metrics.Counter // responses by whose status the caller would take a request that may have run for refused
-	repeatedRefusals *metrics.Counter // refusals on a connection that had carried a request with the same ID
 	firstEvent       *metrics.Histogram
 	queue            *metrics.Histogram
 	outcomes         sync.Map // *metrics.Counter by reason; the set of reasons is fixed
@@ -61,7 +60,6 @@
 		brittle:          set.NewCounter("primrosebeam_engine_brittle_changes_total"),
 		unsentGrants:     set.NewCounter("primrosebeam_unsent_grants_total"),
 		unprovenRefusals: set.NewCounter("primrosebeam_unproven_refusals_total"),
-		repeatedRefusals: set.NewCounter("primrosebeam_repeated_refusals_total"),
 		firstEvent:       set.NewHistogram("primrosebeam_first_event_seconds"),
 		queue:            set.NewHistogram("primrosebeam_queue_seconds"),
 	}
@@ -100,7 +98,7 @@
 			Int("events", x.eventsSent).Dur("first", x.timeToFirst).Dur("pause", x.longestGap)
 	}
 	if a := x.answer; a.status != 0 && (why != reasonAnswered || a.status >= http.StatusBadRequest) {
-		event.Int("engineStatus", a.status).Bool("notExecuted", a.notExecuted).Bool("identified", a.identified).Bool("reused", a.reused).Bool("repeated", a.repeated)
+		event.Int("engineStatus", a.status).Bool("notExecuted", a.notExecuted).Bool("identified", a.identified).Bool("reused", a.reused)
 	}
 	if after := x.request.Header.Get(platform.HeaderLastEvent); after != "" {
 		event.Str("after", after).Str("resumes", x.request.Header.Get(platform.HeaderResumes)).Str("origin", x.pinnedVersion)
--- a/internal/edge/replay_test.go
+++ b/internal/edge/replay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,40 +14,52 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/routing"
 )
 
-// Guards against a request that changes on its way to the engine when its replay is prevented: a body in chunks, or a
-// length that the caller did not send.
-func TestPreventReplayKeepsRequest(t *testing.T) {
-	for _, method := range []string{
-		http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete, http.MethodPost, http.MethodPut,
-	} {
+var allMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete, http.MethodPost, http.MethodPut,
+}
+
+// Guards against a request that changes on its way to the engine because it must not be sent twice: a body in chunks, or
+// a length that the caller did not send.
+func TestEngineRequestKeepsMethodAndBody(t *testing.T) {
+	for _, method := range allMethods {
 		for _, body := range []string{"", "body"} {
 			t.Run(method+" "+body, func(t *testing.T) {
 				is := is.New(t)
-				dump := func(prevent bool) string {
+				newRequest := func(target string) *http.Request {
 					var in io.Reader
 					if body != "" {
 						in = bytes.NewReader([]byte(body))
 					}
-					r, err := http.NewRequest(method, "http://127.0.0.1:8080/x", in)
+					r, err := http.NewRequest(method, target, in)
 					is.NoErr(err)
 					r.Header.Set("Idempotency-Key", "order-7")
-					if prevent {
-						preventReplay(r)
-					}
+					r.Header.Set("User-Agent", "test")
+					return r
+				}
+				dump := func(r *http.Request) string {
+					r.Header.Del("X-Deadline-Ms")
+					r.Header.Del("X-Expect-Instance")
 					data, err := httputil.DumpRequestOut(r, true)
 					is.NoErr(err)
 					return strings.ToLower(string(data))
 				}
-				is.Equal(dump(true), dump(false))
+				x := newTestExchange(newTestEdge(t, nil), routing.KindNonIdempotent, httptest.NewRecorder(), newRequest("http://127.0.0.1:8080/x"))
+				x.body = []byte(body)
+				r, err := x.engineRequest(t.Context(), placement.Engine{ID: "e", Address: "127.0.0.1:8080"})
+				is.NoErr(err)
+				is.Equal(dump(r), dump(newRequest("http://127.0.0.1:8080/x")))
 			})
 		}
 	}
 }
 
-// Guards against a new connection to the engine for each request whose replay is prevented.
-func TestPreventReplayKeepsConnection(t *testing.T) {
+// Guards against a new connection to the engine for each request that must not be sent twice.
+func TestNonIdempotentRequestsKeepTheConnection(t *testing.T) {
 	is := is.New(t)
 	var connections atomic.Int32
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
@@ -56,17 +70,20 @@
 	}
 	server.Start()
 	defer server.Close()
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodGet} {
-		r, err := http.NewRequest(method, server.URL, nil)
-		is.NoErr(err)
-		preventReplay(r)
-		response, err := transport.RoundTrip(r)
+	e := newTestEdge(t, nil)
+	e.pool = newPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, nil)
+	defer e.pool.CloseIdle()
+	for i, method := range append(allMethods, http.MethodGet) {
+		x := newTestExchange(e, routing.KindNonIdempotent, httptest.NewRecorder(), httptest.NewRequest(method, "http://host/x", nil))
+		x.id = fmt.Sprint("attempt-", i)
+		response, sent, err := x.roundTrip(t.Context(), placement.Engine{ID: "e", Address: server.Listener.Addr().String()})
 		is.NoErr(err)
 		_, err = io.Copy(io.Discard, response.Body)
 		is.NoErr(err)
 		is.NoErr(response.Body.Close())
+		sent.release()
 	}
 	is.Equal(connections.Load(), int32(1))
 }
--- a/internal/edge/response_test.go
+++ b/internal/edge/response_test.go
@@ -15,7 +15,6 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
-	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/routing"
@@ -68,15 +67,13 @@
 	t.Helper()
 	p, _ := newTestPlacer(t, "allocator")
 	e := &Edge{
-		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p, transport: newTransport(enginelink.NewDialer(enginelink.DialerOptions{
-			Relays: func() []string { return nil }, OnIsolated: func() {}, Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
-		})),
+		options: Options{Logger: zerolog.Nop()}, notices: p.notices, placer: p,
 		counters: newCounters(metrics.NewSet()), started: clock(),
 		retries: newRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }),
 	}
 	e.giveUp, e.giveUpNow = context.WithCancel(context.Background())
 	e.balancer = placement.NewBalancer("a", e.notices)
-	e.transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return dial(), nil }
+	e.pool = newPool(func(context.Context, string, string) (net.Conn, error) { return dial(), nil }, nil)
 	return e
 }
 
@@ -117,7 +114,7 @@
 			}()
 			return near
 		})
-		defer e.transport.CloseIdleConnections()
+		defer e.pool.CloseIdle()
 		kind := routing.KindNonIdempotent
 		if stream {
 			kind = routing.KindStream
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -8,7 +8,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -16,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 	"github.com/primrosebeam/primrosebeam/placement"
 	"github.com/primrosebeam/primrosebeam/platform"
@@ -52,15 +53,15 @@
 	x.answer = engineAnswer{}
 	watch := newWatchdog(cancel, x.responseTimeout(), x.reserveRetry)
 	defer watch.stop()
-	response, connection, err := x.roundTrip(ctx, s.engine)
+	response, sent, err := x.roundTrip(ctx, s.engine)
+	defer sent.release()
 	var invalid *requestError
 	if errors.As(err, &invalid) {
 		x.edge.options.Logger.Error().Str("id", x.id).Err(err).Msg("building the request for the engine failed")
 		return resultFailed
 	}
 	if err != nil {
-		var unidentified *platform.ReportError
-		if !connection.offered.Load() && (connection.abandoned.Load() || errors.As(err, &unidentified)) {
+		if !sent.offered && isOtherStart(err) {
 			x.cause = causeOtherStart
 			x.edge.options.Logger.Info().Str("id", x.id).Str("engine", s.engine.ID).Int64("born", s.engine.Born).
 				Msg("the start of the engine that the list shows could not be confirmed")
@@ -68,25 +69,22 @@
 		}
 		x.cause = causeOf(err, watch)
 		x.connectionRefused = errors.Is(err, syscall.ECONNREFUSED)
-		return x.classifyTransportError(connection.offered.Load(), watch)
+		return x.classifyTransportError(sent.offered, watch)
 	}
 	defer response.Body.Close()
 	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
 	x.answer = engineAnswer{
 		status: response.StatusCode, notExecuted: response.Header.Get(platform.HeaderNotExecuted) != "",
-		identified: x.responseBegun, reused: connection.reused.Load(), repeated: connection.repeated.Load(),
-	}
-	if x.answer.repeated && x.answer.notExecuted {
-		x.edge.counters.repeatedRefusals.Inc()
+		identified: x.responseBegun, reused: sent.lease.Reused(),
 	}
 	x.recordNotices(response, s.engine)
 	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
 		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
 	}
-	if result, done := x.checkResponse(response, s.engine, connection.reused.Load()); done {
+	if result, done := x.checkResponse(response, s.engine, sent.lease.Reused()); done {
 		if echoed := response.Header.Get(platform.HeaderAttempt); echoed != x.id {
 			// The response to this request may still arrive, where the next one would be expected.
-			connection.close()
+			sent.lease.Close()
 		}
 		return result
 	}
@@ -158,22 +156,6 @@
 		Str("turnedAway", r.Header.Get(platform.HeaderBrittle)).Bool("stated", stated).Msg("engines state that they are brittle")
 }
 
-// engineConnection is the connection on which a request is sent to an engine.
-type engineConnection struct {
-	current   atomic.Pointer[net.Conn]
-	reused    atomic.Bool // it has carried other requests or calls before
-	repeated  atomic.Bool // one of these had the same ID
-	abandoned atomic.Bool // nothing was sent on it, since the engine may have started again
-	offered   atomic.Bool // the request may have been sent, on this connection or on an earlier one that it replaces
-}
-
-// close closes the connection, so that it is not used for other requests.
-func (c *engineConnection) close() {
-	if connection := c.current.Load(); connection != nil {
-		(*connection).Close()
-	}
-}
-
 // requestError reports a request of a caller from which no request for an engine can be built.
 type requestError struct{ cause error }
 
@@ -181,37 +163,20 @@
 
 func (e *requestError) Unwrap() error { return e.cause }
 
-// engineRequest builds the request for an engine.
-func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, *engineConnection, error) {
-	connection := &engineConnection{}
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			connection.current.Store(&info.Conn)
-			connection.reused.Store(info.Reused || wasAsked(info.Conn))
-			if c, ok := info.Conn.(*enginelink.Connection); ok {
-				connection.repeated.Store(c.Carry(x.id))
-			}
-			abandoned := x.needsListedStart(engine) && !x.edge.isListedStart(info.Conn, engine)
-			connection.abandoned.Store(abandoned)
-			if abandoned {
-				abandon(info.Conn)
-				return
-			}
-			connection.offered.Store(true)
-		},
-	}
+// engineRequest builds the request for an engine. The error is a *requestError.
+func (x *exchange) engineRequest(ctx context.Context, engine placement.Engine) (*http.Request, error) {
 	in := x.request
 	target, err := engineURL(in, engine.Address)
 	if err != nil {
-		return nil, nil, err
+		return nil, &requestError{cause: err}
 	}
 	var body io.Reader
 	if len(x.body) > 0 {
 		body = bytes.NewReader(x.body)
 	}
-	out, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), in.Method, "http://"+engine.Address, body)
+	out, err := http.NewRequestWithContext(ctx, in.Method, "http://"+engine.Address, body)
 	if err != nil {
-		return nil, nil, err
+		return nil, &requestError{cause: err}
 	}
 	out.URL = target
 	out.Host = in.Host
@@ -219,9 +184,6 @@
 	if out.Header.Get("User-Agent") == "" {
 		out.Header["User-Agent"] = []string{""} // keeps the HTTP client from adding its default
 	}
-	if !x.route.Idempotent() {
-		preventReplay(out)
-	}
 	out.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(x.timeLeft()))
 	out.Header.Set(platform.HeaderIncarnation, engine.ID)
 	if x.workspace != nil {
@@ -230,7 +192,7 @@
 	if x.eventsSent > 0 {
 		out.Header.Set(platform.HeaderLastEvent, x.formatLastEventID())
 	}
-	return out, connection, nil
+	return out, nil
 }
 
 // engineURL returns the URL of a request at an engine, with the path and query as the caller sent them.
@@ -504,12 +466,8 @@
 	maxIdlePerEngine = 64
 )
 
-func newTransport(dialer *enginelink.Dialer) *http.Transport {
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerEngine,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+func newPool(dial func(ctx context.Context, network, address string) (net.Conn, error), set *metrics.Set) *enginelink.Pool {
+	return enginelink.NewPool(enginelink.PoolOptions{
+		Dial: dial, MaxIdle: maxIdlePerEngine, IdleTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes, Metrics: set,
+	})
 }
--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -63,9 +63,9 @@
 func TestEngineWithoutBirthIsNotUnreachable(t *testing.T) {
 	is := is.New(t)
 	e := newTestEdge(t, nil)
-	e.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+	e.pool = newPool(func(context.Context, string, string) (net.Conn, error) {
 		return nil, &platform.ReportError{Cause: &platform.StatusError{Status: http.StatusNotFound}}
-	}
+	}, nil)
 	x := newTestExchange(e, routing.KindStream, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://host/path", nil))
 	x.deadline, x.pinnedVersion = clock()+time.Minute, "v1"
 	result := x.send(t.Context(), slot{engine: placement.Engine{ID: "e", Address: "10.0.0.1:80", Version: "v1", Born: 1000}})
@@ -79,7 +79,7 @@
 func newBornEdge(t *testing.T, born int, respond func(c net.Conn, number int) bool) *Edge {
 	e := newTestEdge(t, nil)
 	var dials atomic.Int32
-	e.transport.DialContext = enginelink.NewDialer(enginelink.DialerOptions{
+	dialer := enginelink.NewDialer(enginelink.DialerOptions{
 		Direct: func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			go func() {
@@ -104,15 +104,16 @@
 			return 1000, nil
 		},
 		Relays: func() []string { return nil }, OnIsolated: func() {}, Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
-	}).DialContext
-	t.Cleanup(e.transport.CloseIdleConnections)
+	})
+	e.pool = newPool(dialer.DialContext, nil)
+	t.Cleanup(e.pool.CloseIdle)
 	return e
 }
 
-// sendTakeUp sends a request that takes up a stream at version v1 to the engine of newBornEdge.
-func sendTakeUp(t *testing.T, e *Edge) (*exchange, sendResult) {
+// sendTakeUp sends an attempt that takes up a stream at version v1 to the engine of newBornEdge.
+func sendTakeUp(t *testing.T, e *Edge, attempt string) (*exchange, sendResult) {
 	x := newTestExchange(e, routing.KindStream, httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://host/path", nil))
-	x.route.Resume = true
+	x.id, x.route.Resume = attempt, true
 	x.deadline, x.pinnedVersion = clock()+time.Minute, "v1"
 	engine := placement.Engine{ID: "e", Address: "10.0.0.1:80", Version: "v1", Born: 1000}
 	return x, x.send(t.Context(), slot{engine: engine, firstEvent: func() {}})
@@ -126,7 +127,7 @@
 		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\n"+platform.HeaderNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	})
-	x, result := sendTakeUp(t, e)
+	x, result := sendTakeUp(t, e, "attempt")
 	is.Equal(result, resultFailed)
 	is.Equal(x.sends, 1)
 }
@@ -142,9 +143,9 @@
 		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\n"+platform.HeaderAttempt+": attempt\r\n"+platform.HeaderNotExecuted+": 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	})
-	_, result := sendTakeUp(t, e)
+	_, result := sendTakeUp(t, e, "attempt")
 	is.Equal(result, resultRefused) // the connection is kept
-	x, result := sendTakeUp(t, e)
+	x, result := sendTakeUp(t, e, "next")
 	is.Equal(result, resultFailed)
 	is.Equal(x.sends, 1)
 }
--- a/internal/enginelink/connection.go
+++ b/internal/enginelink/connection.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"sync"
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
 )
@@ -14,36 +14,49 @@
 	net.Conn
 	Established boottime.Time
 	born        int64
-	abandoned   atomic.Bool
+	uses        int // requests and calls that it has carried
 	carried     carried
+
+	mu      sync.Mutex
+	written int64 // bytes passed to the network
+	sealed  bool
 }
 
-// Carry records that the connection carries a request with the given ID. It reports whether it has carried one with the
-// same ID before, so that the ID does not tell their responses apart.
-func (c *Connection) Carry(id string) (repeated bool) {
-	repeated = c.carried.has(id)
-	c.carried.add(id)
-	return repeated
+// NewConnection returns a Connection that has just been established.
+func NewConnection(raw net.Conn) *Connection {
+	return &Connection{Conn: raw, Established: boottime.Now()}
 }
 
 // Born returns what the process has stated as its time of birth, or 0 if it was not asked.
 func (c *Connection) Born() int64 { return c.born }
 
-// Abandon keeps further bytes from being sent. Writes return *AbandonedError.
-func (c *Connection) Abandon() { c.abandoned.Store(true) }
-
 // Write implements net.Conn.
 func (c *Connection) Write(data []byte) (int, error) {
-	if c.abandoned.Load() {
-		return 0, &AbandonedError{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.written += int64(n)
+	return n, err
 }
 
-// AbandonedError reports that nothing more is sent on a connection.
-type AbandonedError struct{}
+// count returns the number of bytes passed to the network.
+func (c *Connection) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
 
-func (e *AbandonedError) Error() string { return "enginelink: connection abandoned before use" }
+// seal closes the connection and returns the final count. No byte is written after it returns.
+func (c *Connection) seal() int64 {
+	_ = c.Conn.Close() // interrupts a write that holds the mutex
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
 
 type bornRequired struct{}
 
@@ -55,7 +68,7 @@
 // open wraps a connection that was opened for ctx. It closes the connection if the process does not state its time of
 // birth although ctx requires it.
 func (d *Dialer) open(ctx context.Context, raw net.Conn, address string) (net.Conn, error) {
-	c := &Connection{Conn: raw, Established: boottime.Now()}
+	c := NewConnection(raw)
 	if ctx.Value(bornRequired{}) == nil || d.options.ReadBorn == nil {
 		return c, nil
 	}
@@ -66,5 +79,6 @@
 		return nil, err
 	}
 	c.born = born
+	c.carried.add("") // the response to the question had no ID
 	return c, nil
 }
--- a/internal/enginelink/enginelink_test.go
+++ b/internal/enginelink/enginelink_test.go
@@ -265,7 +265,7 @@
 	is.Equal(len(d.pauses), 0)
 }
 
-// Guards against bytes on a connection that was abandoned, and against a connection to a process of unknown start where
+// Guards against bytes on a connection that was sealed, and against a connection to a process of unknown start where
 // a known one is required.
 func TestRequireBorn(t *testing.T) {
 	is := is.New(t)
@@ -292,11 +292,9 @@
 	is.NoErr(err)
 	is.Equal(plain.(*Connection).Born(), int64(0))
 	is.Equal(asked, 0)
-	plain.(*Connection).Abandon()
+	is.Equal(plain.(*Connection).seal(), int64(0))
 	_, err = plain.Write([]byte("request"))
-	var abandoned *AbandonedError
-	is.True(errors.As(err, &abandoned))
-	is.NoErr(plain.Close())
+	is.True(errors.Is(err, net.ErrClosed))
 	is.Equal(<-written, 0)
 
 	known, err := d.DialContext(RequireBorn(t.Context()), "tcp", address)
--- /dev/null
+++ b/internal/enginelink/pool.go
@@ -0,0 +1,372 @@
+package enginelink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// PoolOptions configures a Pool.
+type PoolOptions struct {
+	// Dial opens a connection. It must end by itself: a connection that is opened late is kept for other requests.
+	Dial                   func(ctx context.Context, network, address string) (net.Conn, error)
+	MaxIdle                int           // idle connections that are kept for an address
+	IdleTimeout            time.Duration // how long an idle connection is kept
+	MaxResponseHeaderBytes int64         // status line and header of a response
+	ReadBufferBytes        int           // 0 means the default of net/http
+	Metrics                *metrics.Set  // nil means none
+}
+
+// Pool keeps connections to engines for reuse. It is safe for concurrent use.
+//
+// Invariants: a connection has at most one user; it gets the next one only after its user has checked the response and
+// released it; it carries at most one request with an ID. A response is therefore that to the request under way, or its
+// ID is another one.
+type Pool struct {
+	options   PoolOptions
+	transport *http.Transport // opens connections, but keeps none
+	counters  map[poolEvent]*metrics.Counter
+
+	mu      sync.Mutex
+	idle    map[string][]*pooled // by address, the most recently used one last
+	waiting map[string][]*waiter // by address, in order of arrival
+}
+
+// poolEvent is what happens to connections, in metrics.
+type poolEvent string
+
+const (
+	eventOpened     poolEvent = "opened"
+	eventReused     poolEvent = "reused"
+	eventPassedOver poolEvent = "passed-over" // idle, but it has carried a request with the same ID
+	eventRetired    poolEvent = "retired"     // it has carried maxCarried requests
+)
+
+// NewPool returns a Pool without connections.
+func NewPool(o PoolOptions) *Pool {
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	p := &Pool{
+		options: o, counters: map[poolEvent]*metrics.Counter{},
+		idle: map[string][]*pooled{}, waiting: map[string][]*waiter{},
+	}
+	p.transport = &http.Transport{
+		DialContext: p.open, DisableCompression: true, MaxResponseHeaderBytes: o.MaxResponseHeaderBytes, ReadBufferSize: o.ReadBufferBytes,
+	}
+	for _, event := range []poolEvent{eventOpened, eventReused, eventPassedOver, eventRetired} {
+		p.counters[event] = o.Metrics.NewCounter(fmt.Sprintf("primrosebeam_engine_connections_total{event=%q}", event))
+	}
+	return p
+}
+
+// pooled is a connection of a Pool.
+type pooled struct {
+	*Connection
+	address string
+	client  *http.ClientConn
+	expiry  *time.Timer // set while it is idle
+}
+
+// waiter is a request that waits for a connection. Its own dial has begun; a connection that is released meanwhile serves
+// as well.
+type waiter struct {
+	accepts func(*pooled) bool
+	served  bool        // guarded by Pool.mu
+	result  chan result // gets one result if served
+}
+
+type result struct {
+	connection *pooled
+	err        error
+}
+
+// UnusableError reports a new connection that the request does not accept. It is kept for others.
+type UnusableError struct{ Address string }
+
+func (e *UnusableError) Error() string {
+	return "enginelink: new connection to " + e.Address + " cannot be used for this request"
+}
+
+// Acquire returns a connection for one request with the given ID, which it has not carried yet. usable limits the
+// connections that are accepted; nil accepts all. The error is that of the dial, *UnusableError, or the cause of the end
+// of ctx.
+func (p *Pool) Acquire(ctx context.Context, address, id string, usable func(*Connection) bool) (*Lease, error) {
+	c, err := p.acquire(ctx, address, func(c *pooled) bool {
+		if c.carried.has(id) {
+			p.counters[eventPassedOver].Inc()
+			return false
+		}
+		return usable == nil || usable(c.Connection)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return p.lease(c, &id), nil
+}
+
+// AcquireForCall returns a connection for a call whose response is not identified. Connections for such calls must not
+// be used for requests.
+func (p *Pool) AcquireForCall(ctx context.Context, address string) (*Lease, error) {
+	c, err := p.acquire(ctx, address, func(*pooled) bool { return true })
+	if err != nil {
+		return nil, err
+	}
+	return p.lease(c, nil), nil
+}
+
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*pooled{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.closeIdle()
+		}
+	}
+}
+
+func (p *Pool) acquire(ctx context.Context, address string, accepts func(*pooled) bool) (*pooled, error) {
+	w := &waiter{accepts: accepts, result: make(chan result, 1)}
+	p.mu.Lock()
+	if c := p.takeIdle(address, accepts); c != nil {
+		p.mu.Unlock()
+		return c, nil
+	}
+	p.waiting[address] = append(p.waiting[address], w)
+	p.mu.Unlock()
+	go p.dial(context.WithoutCancel(ctx), address, w)
+	select {
+	case r := <-w.result:
+		return r.connection, r.err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	served := w.served
+	p.forget(address, w)
+	p.mu.Unlock()
+	if served {
+		if r := <-w.result; r.err == nil {
+			r.connection.client.Release()
+			p.put(r.connection)
+		}
+	}
+	return nil, context.Cause(ctx)
+}
+
+// takeIdle removes an idle connection that is accepted from the pool and reserves it. The caller holds p.mu.
+func (p *Pool) takeIdle(address string, accepts func(*pooled) bool) *pooled {
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if c.client.Err() == nil && !accepts(c) {
+			continue
+		}
+		p.removeIdle(c)
+		c.expiry.Stop()
+		if c.client.Reserve() == nil {
+			return c
+		}
+		_ = c.client.Close() // the engine has closed it, or sent what nobody asked for
+	}
+	return nil
+}
+
+// removeIdle removes a connection from the idle ones and reports whether it was one. The caller holds p.mu.
+func (p *Pool) removeIdle(c *pooled) bool {
+	list := p.idle[c.address]
+	i := slices.Index(list, c)
+	if i < 0 {
+		return false
+	}
+	if list = slices.Delete(list, i, i+1); len(list) == 0 {
+		delete(p.idle, c.address)
+		return true
+	}
+	p.idle[c.address] = list
+	return true
+}
+
+// forget removes a waiter. The caller holds p.mu.
+func (p *Pool) forget(address string, w *waiter) {
+	w.served = true
+	list := slices.DeleteFunc(p.waiting[address], func(other *waiter) bool { return other == w })
+	if len(list) == 0 {
+		delete(p.waiting, address)
+		return
+	}
+	p.waiting[address] = list
+}
+
+// dial opens a connection for a waiter. If the waiter has been served meanwhile, others get the connection.
+func (p *Pool) dial(ctx context.Context, address string, w *waiter) {
+	opened := &pooled{address: address}
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, openedKey{}, &opened.Connection), "http", address)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !w.served {
+			p.forget(address, w)
+			w.result <- result{err: err}
+		}
+		return
+	}
+	p.counters[eventOpened].Inc()
+	opened.client = client
+	p.mu.Lock()
+	wanted := !w.served
+	if wanted {
+		p.forget(address, w)
+	}
+	p.mu.Unlock()
+	switch {
+	case !wanted:
+		p.put(opened)
+	case !w.accepts(opened):
+		p.put(opened)
+		w.result <- result{err: &UnusableError{Address: address}}
+	default:
+		if err := client.Reserve(); err != nil {
+			w.result <- result{err: err}
+			return
+		}
+		w.result <- result{connection: opened}
+	}
+}
+
+type openedKey struct{}
+
+// open opens a connection and hands it to dial.
+func (p *Pool) open(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := p.options.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c, ok := raw.(*Connection)
+	if !ok {
+		c = NewConnection(raw)
+	}
+	*ctx.Value(openedKey{}).(**Connection) = c
+	return c, nil
+}
+
+// put gives a connection without a user to the first waiter that accepts it, or keeps it.
+func (p *Pool) put(c *pooled) {
+	if c.carried.isFull() {
+		p.counters[eventRetired].Inc()
+	}
+	if c.client.Available() == 0 || c.carried.isFull() {
+		_ = c.client.Close() // its response has been used or given up
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.waiting[c.address] {
+		if !w.accepts(c) {
+			continue
+		}
+		if c.client.Reserve() != nil {
+			break
+		}
+		p.forget(c.address, w)
+		w.result <- result{connection: c}
+		return
+	}
+	if len(p.idle[c.address]) >= p.options.MaxIdle {
+		_ = c.client.Close() // nothing is under way on it
+		return
+	}
+	c.expiry = time.AfterFunc(p.options.IdleTimeout, func() { p.expire(c) })
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+func (p *Pool) expire(c *pooled) {
+	p.mu.Lock()
+	idle := p.removeIdle(c)
+	p.mu.Unlock()
+	if idle {
+		c.closeIdle()
+	}
+}
+
+func (c *pooled) closeIdle() {
+	c.expiry.Stop()
+	_ = c.client.Close() // nothing is under way on it
+}
+
+// Lease is the use of a connection for one request.
+type Lease struct {
+	pool    *Pool
+	c       *pooled
+	id      *string // nil for a call without an ID
+	reused  bool
+	written int64 // bytes written on the connection before
+	sent    bool
+	ended   bool
+}
+
+func (p *Pool) lease(c *pooled, id *string) *Lease {
+	l := &Lease{pool: p, c: c, id: id, reused: c.uses > 0, written: c.count()}
+	if l.reused {
+		p.counters[eventReused].Inc()
+	}
+	return l
+}
+
+// Connection returns the connection.
+func (l *Lease) Connection() *Connection { return l.c.Connection }
+
+// Reused reports whether the connection has carried other requests or calls before.
+func (l *Lease) Reused() bool { return l.reused || l.c.Born() != 0 }
+
+// RoundTrip sends the request once and returns the header of the response. It is called at most once.
+func (l *Lease) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.sent = true
+	l.c.uses++
+	if l.id != nil {
+		l.c.carried.add(*l.id)
+	}
+	response, err := l.c.client.RoundTrip(r)
+	if errors.Is(err, io.EOF) {
+		return nil, io.EOF // without the text of net/http
+	}
+	return response, err
+}
+
+// Unsent closes the connection and reports whether nothing of the request has been passed to it, which then never will be.
+func (l *Lease) Unsent() bool {
+	l.Close()
+	return l.c.seal() == l.written
+}
+
+// Release ends the use of the connection after the response has been checked. The connection is kept if the response was
+// read to its end.
+func (l *Lease) Release() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	if !l.sent {
+		l.c.client.Release()
+	}
+	l.pool.put(l.c)
+}
+
+// Close ends the use of the connection and closes it. It has no effect after Release.
+func (l *Lease) Close() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	_ = l.c.client.Close() // the caller reports why
+}
--- a/internal/enginelink/socket.go
+++ b/internal/enginelink/socket.go
@@ -1,5 +1,5 @@
-// Package enginelink opens connections to engines. An instance that reaches no engine itself, because its links are
-// cut, uses a control instance as a relay.
+// Package enginelink opens connections to engines and keeps them for reuse. An instance that reaches no engine itself,
+// because its links are cut, uses a control instance as a relay.
 package enginelink
 
 import (
