Known red: a request is sent without an end on new connections

A stream that goes on asks each new connection for the time of birth of the engine. Lease.Reused counts that question as a use, since a response without an ID may be a copy of the answer to it. roundTrip takes the same statement for "the connection was kept, another one may be tried". An engine that answers the question and closes the connection (it crashes on the request, or resets connections beyond its limit) is therefore asked and sent the request again on new connections, without a pause, a retry budget or a bound but the deadline. net/http stopped at the first new connection.

--- /dev/null
+++ b/internal/edge/roundtrip_test.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/platform"
+	"github.com/primrosebeam/primrosebeam/routing"
+)
+
+// newPipedEdge returns an entry instance and the number of its connections to engines. respond is called for each request
+// on a connection, with the number of both, from 0; it returns false to close the connection.
+func newPipedEdge(t *testing.T, respond func(c net.Conn, r *http.Request, connection, number int) bool) (*Edge, *atomic.Int32) {
+	t.Helper()
+	var connections atomic.Int32
+	e := newTestEdge(t, func() net.Conn {
+		near, far := net.Pipe()
+		connection := int(connections.Add(1)) - 1
+		go func() {
+			defer far.Close()
+			in := bufio.NewReader(far)
+			for number := 0; ; number++ {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err != nil || !respond(far, r, connection, number) {
+					return
+				}
+			}
+		}()
+		return near
+	})
+	t.Cleanup(e.pool.CloseIdle)
+	return e, &connections
+}
+
+func writeSuccess(c net.Conn, attempt string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 0\r\n\r\n",
+		platform.HeaderAttempt, attempt, platform.HeaderSignature)
+	return err == nil
+}
+
+func sendPiped(ctx context.Context, t *testing.T, e *Edge, kind routing.Kind, attempt string) (*exchange, sendResult) {
+	t.Helper()
+	x := newTestExchange(e, kind, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "http://host/path", nil))
+	x.id = attempt
+	x.request.Header.Set(platform.HeaderAttempt, attempt)
+	return x, x.send(ctx, slot{engine: placement.Engine{ID: "e", Address: "10.0.0.1:80"}, firstEvent: func() {}})
+}
+
+// Guards against a request that is sent without an end to an engine that states its time of birth and then closes the
+// connection.
+func TestNewConnectionThatIsClosedIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int32
+	e := newBornEdge(t, 1000, func(net.Conn, int) bool {
+		received.Add(1)
+		return false
+	})
+	x, result := sendTakeUp(t, e, "attempt")
+	is.Equal(result, resultFailed)
+	is.Equal(x.sends, 1)
+	is.Equal(received.Load(), int32(1))
+}
--- a/internal/enginelink/pool_test.go
+++ b/internal/enginelink/pool_test.go
@@ -258,3 +258,15 @@
 	use(t, p, e.address, "a")
 	is.Equal(e.dials.Load(), int32(1))
 }
+
+// Guards against a connection that the engine has closed meanwhile, since this process stood still beyond the idle timeout
+// and a request comes before the timer.
+func TestConnectionIdleForTooLongIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPool(t, 2, answerWithID)
+	p.options.IdleTimeout = 50 * time.Millisecond
+	first := use(t, p, e.address, "a")
+	is.True(p.idle[e.address][0].expiry.Stop()) // it does not run while the process stands still
+	time.Sleep(2 * p.options.IdleTimeout)
+	is.True(use(t, p, e.address, "b") != first)
+}
