Replace no new connection on which a request failed

Cause: roundTrip took a new connection that had been asked for the time of birth for one that was kept, and replaced it without an end when the engine closed it.

Change: Lease.Kept states whether requests were carried before; only such a connection is replaced. Reused still counts the question, for responses without an ID.

Result: TestNewConnectionThatIsClosedIsNotReplaced failed before (1000 sends) and passes (1).

--- a/internal/edge/roundtrip.go
+++ b/internal/edge/roundtrip.go
@@ -50,7 +50,7 @@
 		unsent := sent.lease.Unsent()
 		sent.offered = sent.offered || !unsent
 		again := unsent || x.mayReplay() && !begun.Load()
-		if !again || !sent.lease.Reused() || ctx.Err() != nil {
+		if !again || !sent.lease.Kept() || ctx.Err() != nil {
 			return nil, sent, err
 		}
 	}
--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -329,6 +329,9 @@
 // Reused reports whether the connection has carried other requests or calls before.
 func (l *Lease) Reused() bool { return l.reused || l.c.Born() != 0 }
 
+// Kept reports whether the connection was kept after other requests, so that the engine may have closed it since.
+func (l *Lease) Kept() bool { return l.reused }
+
 // RoundTrip sends the request once and returns the header of the response. It is called at most once.
 func (l *Lease) RoundTrip(r *http.Request) (*http.Response, error) {
 	l.sent = true
