Known red: an unused connection that broke makes an engine unreachable

A connection that was opened late, or released without a send, is kept for other requests. If it has broken when the next request takes it, nothing is sent, but roundTrip dials no other one, as the connection has carried no request. The engine is then reported to the allocator as unreachable. net/http counted each connection from its idle ones as reused.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -73,3 +73,37 @@
 	is.Equal(x.sends, 1)
 	is.Equal(received.Load(), int32(1))
 }
+
+// deafConnection is one whose other end has gone, which only a write shows.
+type deafConnection struct{ net.Conn }
+
+func (deafConnection) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
+// Guards against an engine that is taken for unreachable because a connection to it that was opened early, and not used
+// yet, has broken.
+func TestUnusedConnectionThatBrokeIsReplaced(t *testing.T) {
+	is := is.New(t)
+	e := newTestEdge(t, nil)
+	var dials atomic.Int32
+	e.pool = newPool(func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		if dials.Add(1) == 1 {
+			t.Cleanup(func() { far.Close() })
+			return deafConnection{near}, nil
+		}
+		go func() {
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err == nil {
+				writeSuccess(far, r.Header.Get(platform.HeaderAttempt))
+			}
+		}()
+		return near, nil
+	}, nil)
+	t.Cleanup(e.pool.CloseIdle)
+	lease, err := e.pool.Acquire(t.Context(), "10.0.0.1:80", "unused", nil)
+	is.NoErr(err)
+	lease.Release()
+	_, result := sendPiped(t.Context(), t, e, routing.KindNonIdempotent, "attempt")
+	is.Equal(result, resultDone)
+	is.Equal(dials.Load(), int32(2))
+}
