Replace an unused connection that broke while it was idle

Cause: only connections that had carried a request counted as kept.

Change: each connection that has been without a user since it was opened counts as kept.

Result: TestUnusedConnectionThatBrokeIsReplaced failed before (the engine was unreachable after one dial) and passes.

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -74,6 +74,7 @@
 	address string
 	client  *http.ClientConn
 	expiry  *time.Timer // set while it is idle
+	kept    bool        // it has been without a user since it was opened
 }
 
 // waiter is a request that waits for a connection. Its own dial has begun; a connection that is released meanwhile serves
@@ -262,6 +263,7 @@
 
 // put gives a connection without a user to the first waiter that accepts it, or keeps it.
 func (p *Pool) put(c *pooled) {
+	c.kept = true
 	if c.carried.isFull() {
 		p.counters[eventRetired].Inc()
 	}
@@ -329,8 +331,8 @@
 // Reused reports whether the connection has carried other requests or calls before.
 func (l *Lease) Reused() bool { return l.reused || l.c.Born() != 0 }
 
-// Kept reports whether the connection was kept after other requests, so that the engine may have closed it since.
-func (l *Lease) Kept() bool { return l.reused }
+// Kept reports whether the connection was kept for this request, so that the engine may have closed it since.
+func (l *Lease) Kept() bool { return l.c.kept }
 
 // RoundTrip sends the request once and returns the header of the response. It is called at most once.
 func (l *Lease) RoundTrip(r *http.Request) (*http.Response, error) {
