Known red: a refusal after a replay counts for both sends

An idempotent request whose kept connection ends without a response is sent once more. The engine may have run the first send. If it refuses the second, the exchange knows of no send that may have run, and the caller gets 503, which promises that the request never ran. net/http hid its replays, so that it was the same before.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -107,3 +107,27 @@
 	is.Equal(result, resultDone)
 	is.Equal(dials.Load(), int32(2))
 }
+
+// Guards against a request that is reported as not run although it was sent once more, after an engine had received it and
+// closed the connection.
+func TestRefusalAfterReplayPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	e, _ := newPipedEdge(t, func(c net.Conn, r *http.Request, connection, number int) bool {
+		attempt := r.Header.Get(platform.HeaderAttempt)
+		switch {
+		case attempt == "first":
+			return writeSuccess(c, attempt)
+		case connection == 0:
+			return false
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+			platform.HeaderAttempt, attempt, platform.HeaderNotExecuted)
+		return err == nil
+	})
+	_, result := sendPiped(t.Context(), t, e, routing.KindIdempotent, "first")
+	is.Equal(result, resultDone)
+	x, result := sendPiped(t.Context(), t, e, routing.KindIdempotent, "second")
+	is.Equal(result, resultRefused)
+	x.finish(result)
+	is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusBadGateway)
+}
