Promise nothing after a replay that an engine refused

Cause: a response was taken for that to all sends of the request to the engine.

Change: an earlier send that the engine may have received counts as a send of its own. It uses one of the attempts of the route.

Result: TestRefusalAfterReplayPromisesNothing failed before (503) and passes (502).

--- a/internal/edge/roundtrip.go
+++ b/internal/edge/roundtrip.go
@@ -12,8 +12,9 @@
 
 // engineSend is what was passed to an engine for one send of a request.
 type engineSend struct {
-	lease   *enginelink.Lease // nil without a connection
-	offered bool              // the engine may have received the request, on this connection or on an earlier one
+	lease    *enginelink.Lease // nil without a connection
+	offered  bool              // the engine may have received the request, on this connection or on an earlier one
+	replayed bool              // the engine may have received it on an earlier one
 }
 
 // release makes the connection available to other requests, if its response was read to the end.
@@ -44,6 +45,7 @@
 		trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}
 		response, err := sent.lease.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 		if err == nil {
+			sent.replayed = sent.offered
 			sent.offered = true
 			return response, sent, nil
 		}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -72,6 +72,9 @@
 		return x.classifyTransportError(sent.offered, watch)
 	}
 	defer response.Body.Close()
+	if sent.replayed {
+		x.sends++ // the response says nothing about the earlier send
+	}
 	x.responseBegun = response.Header.Get(platform.HeaderAttempt) == x.id
 	x.answer = engineAnswer{
 		status: response.StatusCode, notExecuted: response.Header.Get(platform.HeaderNotExecuted) != "",
