Known red: a request that was given up is sent to an engine

http.Transport checks the context before it uses a connection; http.ClientConn and Pool.Acquire do not. A request whose caller has left, or that the stop of the instance has given up, reaches the engine when a kept connection is idle, or when the dial ends at the same time. The engine works for nobody, and the caller that is still there gets 502 in place of 503.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -131,3 +131,23 @@
 	x.finish(result)
 	is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusBadGateway)
 }
+
+// Guards against a request that reaches an engine although it had been given up before, and against an instance that
+// stops and reports of such a request that it may have run.
+func TestRequestGivenUpBeforeSendIsRefused(t *testing.T) {
+	is := is.New(t)
+	for i := range 200 {
+		e, _ := newPipedEdge(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+			return writeSuccess(c, r.Header.Get(platform.HeaderAttempt))
+		})
+		_, result := sendPiped(t.Context(), t, e, routing.KindNonIdempotent, "first")
+		is.Equal(result, resultDone)
+		e.giveUpNow()
+		x := newTestExchange(e, routing.KindNonIdempotent, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://host/path", nil))
+		x.id = fmt.Sprint("given-up-", i)
+		result = x.send(e.giveUp, slot{engine: placement.Engine{ID: "e", Address: "10.0.0.1:80"}, firstEvent: func() {}})
+		is.Equal(result, resultStopped)
+		x.finish(result)
+		is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusServiceUnavailable)
+	}
+}
