Send no request whose context has ended

Cause: neither the pool nor http.ClientConn checks the context before the request is written.

Change: Pool.Acquire returns the cause of the end of the context, also where it has a connection, which it keeps.

Result: TestRequestGivenUpBeforeSendIsRefused failed before (502) and passes (503, in 200 requests).

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -111,7 +111,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.lease(c, &id), nil
+	l := p.lease(c, &id)
+	if ctx.Err() != nil {
+		l.Release()
+		return nil, context.Cause(ctx)
+	}
+	return l, nil
 }
 
 // AcquireForCall returns a connection for a call whose response is not identified. Connections for such calls must not
@@ -138,6 +143,9 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, address string, accepts func(*pooled) bool) (*pooled, error) {
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	w := &waiter{accepts: accepts, result: make(chan result, 1)}
 	p.mu.Lock()
 	if c := p.takeIdle(address, accepts); c != nil {
