Known red: requests without an ID fill the pool with idle connections

A connection carries one request without an ID, as one with each ID. Each further one gets a new connection, which is then kept: up to 64 idle ones for an engine at each instance, beyond what engines accept from all callers together. Callers that repeat one ID without a pause have the same effect; that is not changed here.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -151,3 +152,26 @@
 		is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against an idle connection for each request without an ID.
+func TestRequestsWithoutIDKeepNoConnections(t *testing.T) {
+	is := is.New(t)
+	var open, most atomic.Int32
+	e, _ := newPipedEdge(t, func(c net.Conn, r *http.Request, _, number int) bool {
+		if number == 0 {
+			most.Store(max(most.Load(), open.Add(1)))
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		if err != nil {
+			return false
+		}
+		_, err = c.Read(make([]byte, 1)) // until the connection is closed
+		open.Add(-1)
+		return false
+	})
+	for range 20 {
+		sendPiped(t.Context(), t, e, routing.KindNonIdempotent, "")
+		time.Sleep(time.Millisecond)
+	}
+	is.True(most.Load() <= 2)
+}
