Close the connection of a request without an ID

Cause: connections that cannot serve another such request were kept.

Change: Lease.Release closes the connection after a request without an ID.

Result: TestRequestsWithoutIDKeepNoConnections failed before and passes: at most two connections are open at once, in 20 requests one after the other.

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -368,6 +368,10 @@
 	if l.ended {
 		return
 	}
+	if l.sent && l.id != nil && *l.id == "" {
+		l.Close() // it can serve no other request without an ID
+		return
+	}
 	l.ended = true
 	if !l.sent {
 		l.c.client.Release()
