Use no connection beyond the idle timeout

Cause: only the timer of an idle connection ended its use.

Change: Acquire compares the idle time, by the clock that counts suspensions, and closes a connection that has been idle for too long.

Result: TestConnectionIdleForTooLongIsNotUsed failed before and passes.

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/primrosebeam/primrosebeam/internal/boottime"
 )
 
 // PoolOptions configures a Pool.
@@ -73,8 +75,9 @@
 	*Connection
 	address string
 	client  *http.ClientConn
-	expiry  *time.Timer // set while it is idle
-	kept    bool        // it has been without a user since it was opened
+	expiry  *time.Timer   // set while it is idle
+	idleAt  boottime.Time // when it became idle
+	kept    bool          // it has been without a user since it was opened
 }
 
 // waiter is a request that waits for a connection. Its own dial has begun; a connection that is released meanwhile serves
@@ -178,15 +181,16 @@
 	list := p.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
-		if c.client.Err() == nil && !accepts(c) {
+		tooOld := boottime.Now().Sub(c.idleAt) >= p.options.IdleTimeout // its timer has not run after a standstill
+		if !tooOld && c.client.Err() == nil && !accepts(c) {
 			continue
 		}
 		p.removeIdle(c)
 		c.expiry.Stop()
-		if c.client.Reserve() == nil {
+		if !tooOld && c.client.Reserve() == nil {
 			return c
 		}
-		_ = c.client.Close() // the engine has closed it, or sent what nobody asked for
+		_ = c.client.Close() // the engine has closed it or may have, or it sent what nobody asked for
 	}
 	return nil
 }
@@ -296,6 +300,7 @@
 		_ = c.client.Close() // nothing is under way on it
 		return
 	}
+	c.idleAt = boottime.Now()
 	c.expiry = time.AfterFunc(p.options.IdleTimeout, func() { p.expire(c) })
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
