Known red: decisions for an earlier start are taken for present ones

Entry instances number their requests for slots from 1 at each start. A link sends one-way messages that are queued while it reconnects to whatever start of the peer it finds, and decisions do not name the start that they are for. A decision for an earlier start is thus applied to the present request with the same number: it gets an engine of another service, or a refusal, that was meant for another request.

--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -314,3 +314,21 @@
 	is.Equal(updates[0].Spent[0].Workspace, "w")
 	is.Equal(updates[0].Spent[0].Parts[0]+updates[0].Spent[0].Parts[1], 1500.0)
 }
+
+// Guards against a request that gets the slot of another one, which an earlier start of this instance had submitted: what
+// an allocator has queued for that is delivered to this one.
+func TestDecisionsOfEarlierStartAreIgnored(t *testing.T) {
+	is := is.New(t)
+	earlier, _ := newTestPlacer(t, "allocator")
+	before, err := earlier.Submit(placement.Request{Service: "other"})
+	is.NoErr(err)
+	p, _ := newTestPlacer(t, "allocator")
+	submitted, err := p.Submit(placement.Request{Service: "s"})
+	is.NoErr(err)
+	p.step(time.Second)
+	p.post(placerEvent{kind: eventDecisions, from: "allocator", decisions: &fleet.Decisions{
+		Sequence: 7, Grants: []fleet.Grant{{ID: before.id, Engine: placement.Engine{ID: "engine-of-other", Service: "other"}}},
+	}})
+	p.step(time.Second)
+	is.Equal(len(submitted.decision), 0)
+}
