Give the requests for slots of each start numbers of their own

Cause: the numbers began anew with each start of an entry instance, and decisions are attributed by them alone.

Change: they begin with the time since boot in nanoseconds. An instance submits fewer requests than nanoseconds pass.

Result: TestDecisionsOfEarlierStartAreIgnored failed before and passes.

--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -166,6 +166,7 @@
 		spending:      placement.NewSpendingLog(control.quotaWindow),
 		switches:      o.Metrics.NewCounter("primrosebeam_allocator_switches_total"),
 	}
+	p.lastID.Store(uint64(clock())) // decisions for an earlier start name no request of this one
 	none := ""
 	p.currentAllocator.Store(&none)
 	p.exhausted.Store(&[]string{})
