Known red: copies of responses about one request on the product's path

Resume and Cancel use the ID of the request that they are about, on the connections that requests share. The ID thus tells nothing when one call about a request follows another on a connection: the copy of the response to a cancellation, or to an earlier resumption, is taken for the response to the next resumption. entry.joinStream then stores it as the outcome of the key: a complete response without events for a request that streamed.

A connection must carry no two calls with one ID, as in enginelink.Pool, whatever the method; connections for calls of the control interface already carry no requests.

--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -106,3 +106,73 @@
 		})
 	}
 }
+
+// Guards against the copy of the response to one call about a request being taken for the response to the next call about
+// it, which has the same ID: the outcome of a key would be stored from it.
+func TestCopyOfCallAboutTheSameRequest(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		first func(c *upstream.Client, address string) error
+	}{
+		{"cancel, then resume", func(c *upstream.Client, address string) error {
+			return c.Cancel(context.Background(), "e", address, "request")
+		}},
+		{"resume, then resume", func(c *upstream.Client, address string) error {
+			response, err := c.Resume(context.Background(), "e", address, "request", "")
+			if err != nil {
+				return err
+			}
+			defer response.Body.Close()
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var mu sync.Mutex
+			calls := 0 // about the request
+			carried := map[net.Conn]string{}
+			engine := startRawEngine(t, func(c net.Conn, r *http.Request, _ int) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				id := r.Header.Get(upstream.HeaderRequestID)
+				text := rawResponse(id, "")
+				if id == "request" {
+					calls++
+					body := fmt.Sprint("response ", calls)
+					if r.Method == http.MethodDelete {
+						body = "" // the connection is kept
+					}
+					text = rawResponse(id, body)
+					io.WriteString(c, carried[c]) // a failure shows at the next write
+					time.Sleep(20 * time.Millisecond)
+					carried[c] = text
+				}
+				_, err := io.WriteString(c, text)
+				return err == nil
+			})
+			client := upstream.New()
+			defer client.Close()
+			address := "http://" + engine.Address()
+			warm := func(id string) {
+				response, err := client.Do(context.Background(), upstream.Request{
+					Engine: "e", URL: address, Method: http.MethodPost, Target: "/", Header: http.Header{}, ID: id,
+				})
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+			}
+			warm("other-1") // shows that the engine echoes IDs
+			warm("other-2")
+			is.NoErr(test.first(client, address))
+			response, err := client.Resume(context.Background(), "e", address, "request", "")
+			is.NoErr(err)
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "response 2")
+		})
+	}
+}
