Known red: a short deadline makes an engine unreachable

A deadline that passes before the connection is open has the result of a dial that failed. A caller that states a deadline of a few milliseconds thus suspends an engine at the instance, and a report of an unreachable engine of a plain service counts as its crash, for which requests can be blocked.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -175,3 +175,25 @@
 	}
 	is.True(most.Load() <= 2)
 }
+
+// Guards against an engine that is suspended as unreachable because the deadline of a caller was shorter than the time
+// that a connection takes.
+func TestShortDeadlineDoesNotSuspendEngine(t *testing.T) {
+	is := is.New(t)
+	e := newTestEdge(t, nil)
+	e.pool = newPool(func(context.Context, string, string) (net.Conn, error) {
+		time.Sleep(50 * time.Millisecond)
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		return near, nil
+	}, nil)
+	t.Cleanup(e.pool.CloseIdle)
+	x := newTestExchange(e, routing.KindNonIdempotent, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://host/path", nil))
+	x.deadline = clock() + 5*time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), x.timeLeft())
+	defer cancel()
+	result := x.send(ctx, slot{engine: placement.Engine{ID: "e", Address: "10.0.0.1:80"}, firstEvent: func() {}})
+	is.Equal(x.outcomeOf(result), placement.OutcomeUnused)
+	x.finish(result)
+	is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusServiceUnavailable) // it was not sent
+}
