Suspend no engine because the deadline of a caller passed

Cause: a deadline that passed before the connection was open was taken for a dial that failed.

Change: a result of its own, with the outcome of a slot that was not used. The caller gets the refusal of a request whose deadline passed while it waited; it has not run.

Result: TestShortDeadlineDoesNotSuspendEngine failed before (outcome unreachable) and passes.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -17,6 +17,7 @@
 const (
 	resultDone        sendResult = iota // the complete response was relayed
 	resultUnreachable                   // no connection, so the engine received nothing of the request
+	resultUnsent                        // the deadline passed before the engine received anything
 	resultOtherStart                    // the engine has started again since it was listed; it received nothing
 	resultRefused                       // the engine reported that it did not run the request
 	resultFailed                        // the engine failed and may have run the request
@@ -66,7 +67,7 @@
 		return placement.OutcomeCompleted
 	case resultUnreachable:
 		return placement.OutcomeUnreachable
-	case resultOtherStart:
+	case resultOtherStart, resultUnsent:
 		return placement.OutcomeUnused
 	case resultRefused:
 		if x.edge.notices.IsBrittle(clock(), x.service.Name) {
@@ -410,6 +411,8 @@
 		x.abort(reasonIncomplete)
 	case resultUnreachable, resultOtherStart, resultRefused:
 		x.finishUnplaced(reasonRefused, notReadyRetry)
+	case resultUnsent:
+		x.finishUnplaced(reason(placement.ReasonDeadline), quotaRetry)
 	case resultDeadline:
 		if x.headerSent {
 			x.abort(reasonTimeout)
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -247,6 +247,8 @@
 			x.sends++
 		}
 		return resultStopped
+	case !written && x.timeLeft() <= 0:
+		return resultUnsent
 	case !written:
 		return resultUnreachable
 	case watch.fired():
