Record nothing that a copy of another response states

Cause: what an engine states about itself (that it is leaving, a rest, a rate limit, its load) was recorded before the ID of the response was checked. A copy of an earlier response stated it once more: an engine that had asked for a rest long ago was not used again.

Change: only a response that bears the ID of the request, or none, states something. The load counts only if the response names no other engine, as for the other statements.

Result: TestCopyOfResponseStatesNothing failed before, and passes with the other tests of the package.

--- a/internal/edge/roundtrip_test.go
+++ b/internal/edge/roundtrip_test.go
@@ -194,3 +194,24 @@
 	x.finish(result)
 	is.Equal(x.writer.(*httptest.ResponseRecorder).Code, http.StatusServiceUnavailable) // it was not sent
 }
+
+// Guards against an engine that is not used because of a copy of what it stated in an earlier response.
+func TestCopyOfResponseStatesNothing(t *testing.T) {
+	is := is.New(t)
+	e, _ := newPipedEdge(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		attempt := r.Header.Get(platform.HeaderAttempt)
+		if attempt == "first" {
+			return writeSuccess(c, attempt)
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: first\r\n%s: 1\r\n%s: 60\r\n%s: 0\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+			platform.HeaderAttempt, platform.HeaderNotExecuted, platform.HeaderRetryAfter, platform.HeaderRateLimit, platform.HeaderLeaving)
+		return err == nil
+	})
+	_, result := sendPiped(t.Context(), t, e, routing.KindNonIdempotent, "first")
+	is.Equal(result, resultDone)
+	_, result = sendPiped(t.Context(), t, e, routing.KindNonIdempotent, "second")
+	is.Equal(result, resultFailed)
+	is.True(e.notices.MayUse(clock(), "e"))
+	_, limited := e.notices.RateLimit("e")
+	is.True(!limited)
+}
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -80,9 +80,8 @@
 		status: response.StatusCode, notExecuted: response.Header.Get(platform.HeaderNotExecuted) != "",
 		identified: x.responseBegun, reused: sent.lease.Reused(),
 	}
-	x.recordNotices(response, s.engine)
-	if load, ok := platform.ParseLoad(response.Header); ok && x.service.Model == nil {
-		x.edge.balancer.ReportLoad(clock(), s.engine.ID, load.Running+load.Waiting, load.Pace)
+	if echoed := response.Header.Get(platform.HeaderAttempt); echoed == "" || echoed == x.id {
+		x.recordNotices(response, s.engine)
 	}
 	if result, done := x.checkResponse(response, s.engine, sent.lease.Reused()); done {
 		if echoed := response.Header.Get(platform.HeaderAttempt); echoed != x.id {
@@ -98,13 +97,16 @@
 	return x.relayComplete(response, watch)
 }
 
-// recordNotices records what the engine states about itself in the header of any response: that it is leaving,
-// or that it wants no requests from this instance for some time. Statements of another engine at the same
+// recordNotices records what the engine states about itself in the header of a response: its load, limits, that it is
+// leaving, or that it wants no requests from this instance for some time. Statements of another engine at the same
 // address are ignored.
 func (x *exchange) recordNotices(r *http.Response, engine placement.Engine) {
 	if id := r.Header.Get(platform.HeaderEngine); id != "" && id != engine.ID {
 		return
 	}
+	if load, ok := platform.ParseLoad(r.Header); ok && x.service.Model == nil {
+		x.edge.balancer.ReportLoad(clock(), engine.ID, load.Running+load.Waiting, load.Pace)
+	}
 	leaving := placement.LeavingNotice{Engine: engine.ID, Born: engine.Born}
 	if platform.IsLeaving(r.Header) && x.edge.recordLeaving(leaving, "") {
 		x.edge.placer.Leaving(leaving)
