A refusal does not end a row of crashes

A request to a plain service that crashes engines was sent to one after the other for seconds longer: 8 to 11 engines crashed in the phase of the soak that repeats such a request.

Cause: a response to a request with two crashes in a row is reported to the allocator, which ends the row. Refusals counted as responses, as they name the attempt: status 421 of the process that started at the address of the crashed engine while this instance's list still had the former ID, and 503 of a full engine. Neither has begun to run the request. Two crashes, a restart and a refusal could follow each other again and again. Requests that an allocator grants were not affected.

Only responses of engines that may have run the request are reported now.

TestRefusalDoesNotClearSuspectedRequest failed in its two cases of refusals. Changes of the allocator still restart the row, so the entries stay listed.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -281,7 +281,7 @@
 	if outcome == placement.OutcomeUnreachable || lost && x.connectionRefused {
 		x.edge.placer.Unreachable(engine)
 	}
-	if x.responseBegun && outcome != placement.OutcomeUnused {
+	if x.responseBegun && !outcome.IsRefunded() { // a refusal says nothing about the request
 		x.edge.placer.Responded(x.service.Name, x.parts)
 	}
 }
--- a/internal/edge/run_test.go
+++ b/internal/edge/run_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +14,7 @@
 
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/placement"
+	"github.com/primrosebeam/primrosebeam/platform"
 	"github.com/primrosebeam/primrosebeam/routing"
 )
 
@@ -161,3 +165,39 @@
 		})
 	}
 }
+
+// Guards against a refusal by a full engine, or by another one at its address, that ends the row of crashes of a request.
+func TestRefusalDoesNotClearSuspectedRequest(t *testing.T) {
+	for _, test := range []struct {
+		name, status, header string
+		clears               bool
+	}{
+		{"full engine", "503 Full", platform.HeaderNotExecuted + ": 1\r\n", false},
+		{"other engine at the address", "421 Misdirected", platform.HeaderEngine + ": other\r\n", false},
+		{"success", "200 OK", platform.HeaderSignature + ": s\r\n", true},
+		{"failure", "500 Error", platform.HeaderSignature + ": s\r\n", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newTestEdge(t, func() net.Conn {
+				near, far := net.Pipe()
+				go func() {
+					defer far.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+						fmt.Fprintf(far, "HTTP/1.1 %s\r\n%s: attempt\r\n%sContent-Length: 0\r\n\r\n", test.status, platform.HeaderAttempt, test.header)
+					}
+				}()
+				return near
+			})
+			defer e.pool.CloseIdle()
+			suspected := []placement.PartID{1}
+			e.placer.blocked.Set(clock(), nil, suspected)
+			x := newTestExchange(e, routing.KindIdempotent, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://host/path", nil))
+			x.parts, x.deadline = suspected, clock()+time.Minute
+			result := x.send(t.Context(), slot{engine: placement.Engine{ID: "e", Address: "10.0.0.1:80"}})
+			x.endPlain("e", x.outcomeOf(result))
+			e.placer.events.Drain(func(event placerEvent) { e.placer.handleEvent(clock(), &event) })
+			is.Equal(len(e.placer.pendingUpdate().Responses) == 1, test.clears)
+		})
+	}
+}
