Log a disk that makes an instance wait

Cause: an instance that waits for a sync, at its start for up to 13 syncs one after the other, wrote nothing. Tests and operators saw a process without output and had no hint at its disk: TestLeaderFaultsDuringSubmission timed out with empty output of all processes.

--- a/internal/claims/owner.go
+++ b/internal/claims/owner.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/primrosebeam/primrosebeam/internal/logging"
 	"github.com/primrosebeam/primrosebeam/journal"
 	"github.com/primrosebeam/primrosebeam/ledger"
 	"github.com/primrosebeam/primrosebeam/ring"
@@ -59,9 +60,7 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = DefaultSnapshotBytes
 	}
-	if o.Files == nil {
-		o.Files = journal.OS{}
-	}
+	o.Files = journal.ReportSlow(o.Files, logging.SlowDisk(o.Logger))
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/internal/core/origins.go
+++ b/internal/core/origins.go
@@ -11,6 +11,7 @@
 	"github.com/primrosebeam/primrosebeam/internal/boottime"
 	"github.com/primrosebeam/primrosebeam/internal/fleet"
 	"github.com/primrosebeam/primrosebeam/internal/link"
+	"github.com/primrosebeam/primrosebeam/internal/logging"
 	"github.com/primrosebeam/primrosebeam/journal"
 	"github.com/primrosebeam/primrosebeam/origin"
 	"github.com/primrosebeam/primrosebeam/placement"
@@ -59,7 +60,7 @@
 		dropped:      c.options.Metrics.NewCounter("primrosebeam_stream_origins_dropped_total"),
 		saveFailures: c.options.Metrics.NewCounter("primrosebeam_stream_origin_save_failures_total"),
 	}
-	file, records, err := loadOrigins(journal.OS{}, c.options.Settings.DataFolder)
+	file, records, err := loadOrigins(journal.ReportSlow(nil, logging.SlowDisk(c.options.Logger)), c.options.Settings.DataFolder)
 	if err != nil {
 		c.options.Logger.Warn().Err(err).Msg("origins of streams not restored")
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/consensus"
+	"github.com/primrosebeam/primrosebeam/internal/logging"
 	"github.com/primrosebeam/primrosebeam/journal"
 )
 
@@ -76,6 +77,7 @@
 	if o.Instance == "" || o.Directory == "" || o.StateMachine == nil || o.Transport == nil {
 		return &OptionsError{Detail: "instance, directory, state machine and transport are required"}
 	}
+	o.Files = journal.ReportSlow(o.Files, logging.SlowDisk(o.Logger))
 	o.TickInterval = cmp.Or(o.TickInterval, DefaultTickInterval)
 	o.CompactEntries = cmp.Or(o.CompactEntries, DefaultCompactEntries)
 	o.CompactBytes = cmp.Or(o.CompactBytes, DefaultCompactBytes)
