Wait for the last owner of keys as long as for any reply

Cause: an attempt to mint keys ends after 0.5 s, so that another owner can be tried. That held for the last owner too, also where there is only one: a sync of 0.5 s there refused keys with 503 ledger-unavailable, while every other call to it may take 2 s. TestFaultMatrix failed so at its first key after a fault when syncs took 0.5 s and longer.

Change: the last owner that is tried gets the time limit of a call, 2 s.

Result: TestMintWaitsForTheLastOwner failed before and passes.

--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -18,8 +18,8 @@
 	// DefaultCallTimeout is the default time limit of one message. It is much longer than a sync and a round
 	// trip between data centres, and short compared with the deadlines of callers.
 	DefaultCallTimeout = 2 * time.Second
-	// DefaultMintTimeout is the default time limit of one attempt to mint keys. It is short enough to try
-	// other owners before the caller's deadline.
+	// DefaultMintTimeout is the default time limit of one attempt to mint keys while another owner is left to try. It
+	// is short enough to try that one before the caller's deadline.
 	DefaultMintTimeout = 500 * time.Millisecond
 	// mintBackoff is the time for which an owner that failed to mint keys is tried after all other owners.
 	mintBackoff = 2 * time.Second
@@ -39,7 +39,7 @@
 	Owners        func() []OwnerInfo // returns the owners that are probably reachable; used for minting only
 	Local         ledger.Service     // owner in this process, or nil
 	CallTimeout   time.Duration      // time limit of one message; 0 means DefaultCallTimeout
-	MintTimeout   time.Duration      // time limit of one attempt to mint; 0 means DefaultMintTimeout
+	MintTimeout   time.Duration      // time limit of an attempt to mint that is not the last; 0 means DefaultMintTimeout
 	ResponseBytes int                // larger responses are reduced to their status; 0 means the ledger's default
 	Random        *rand.Rand         // selects owners for minting; nil means a source with a random seed
 	Now           func() time.Time   // clock; nil means time.Now
@@ -85,8 +85,13 @@
 // *ledger.InvalidRequestError.
 func (c *Client) Mint(ctx context.Context, r ledger.MintRequest) ([]ledger.Key, error) {
 	var lastError error
-	for _, owner := range c.mintOrder() {
-		keys, err := c.mintAt(ctx, owner, r)
+	owners := c.mintOrder()
+	for n, owner := range owners {
+		limit := c.options.MintTimeout
+		if n == len(owners)-1 {
+			limit = c.options.CallTimeout
+		}
+		keys, err := c.mintAt(ctx, owner, limit, r)
 		if err == nil {
 			return keys, nil
 		}
@@ -103,8 +108,8 @@
 	return nil, &NoOwnerError{Err: lastError}
 }
 
-func (c *Client) mintAt(ctx context.Context, owner string, r ledger.MintRequest) ([]ledger.Key, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.MintTimeout)
+func (c *Client) mintAt(ctx context.Context, owner string, limit time.Duration, r ledger.MintRequest) ([]ledger.Key, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if c.isLocal(owner) {
 		return c.options.Local.Mint(ctx, r)
--- a/internal/claims/client_test.go
+++ b/internal/claims/client_test.go
@@ -223,6 +223,44 @@
 	is.True(errors.As(err, &invalid))
 }
 
+// slowOwner is an owner that mints keys after a delay.
+type slowOwner struct {
+	ledger.Service
+	delay time.Duration
+}
+
+func (s slowOwner) Mint(ctx context.Context, _ ledger.MintRequest) ([]ledger.Key, error) {
+	select {
+	case <-time.After(s.delay):
+		return []ledger.Key{"key"}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestMintWaitsForTheLastOwner guards against a request for keys that is refused although the only owner that is left
+// would have answered within the time limit of a call, for example after a slow sync.
+func TestMintWaitsForTheLastOwner(t *testing.T) {
+	for name, owners := range map[string][]OwnerInfo{
+		"remote, alone":       {{"bern-1", "bern"}},
+		"local, alone":        {{"olten-1", "olten"}},
+		"after another owner": {{"olten-2", "olten"}, {"bern-1", "bern"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			caller := newFakeCaller("olten-1")
+			caller.add("bern-1", slowOwner{delay: 2 * DefaultMintTimeout})
+			caller.add("olten-2", slowOwner{delay: time.Hour})
+			c := newTestClient(caller, slowOwner{delay: 2 * DefaultMintTimeout}, owners...)
+			c.options.MintTimeout = DefaultMintTimeout
+			keys, err := c.Mint(background, ledger.MintRequest{Workspace: "w", Count: 1, Lifetime: time.Hour})
+			is.NoErr(err)
+			is.Equal(keys, []ledger.Key{"key"})
+		})
+	}
+}
+
 // TestClientUsesTheLocalOwner guards against calls to the local owner that use the link, and against keys of
 // other owners that are passed to the local owner.
 func TestClientUsesTheLocalOwner(t *testing.T) {
