Keep connections to engines over TLS in the pool

Cause: the configuration permits engines with https URLs, and the pool opened plain connections only, so that the product's own engine client could not use it.

Change: an address may begin with https://. Written bytes are counted above TLS, since the handshake and the notice at the end of a connection are no part of a request: one that was never sent is known as unsent over TLS as well.

Result: TestConnectionOverTLS failed before (too many colons in address), and passes with the other tests of the package, three times with -race.

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +37,7 @@
 type Pool struct {
 	options   PoolOptions
 	transport *http.Transport // opens connections, but keeps none
+	tls       *tls.Config     // nil means the default
 	counters  map[poolEvent]*metrics.Counter
 
 	mu      sync.Mutex
@@ -52,6 +55,12 @@
 	eventRetired    poolEvent = "retired"     // it has carried maxCarried requests
 )
 
+const (
+	tlsHandshakeTimeout = 2 * time.Second
+	// tlsPrefix begins the address of an engine that is reached over TLS.
+	tlsPrefix = "https://"
+)
+
 // NewPool returns a Pool without connections.
 func NewPool(o PoolOptions) *Pool {
 	if o.Metrics == nil {
@@ -63,6 +72,7 @@
 	}
 	p.transport = &http.Transport{
 		DialContext: p.open, DisableCompression: true, MaxResponseHeaderBytes: o.MaxResponseHeaderBytes, ReadBufferSize: o.ReadBufferBytes,
+		DialTLSContext: p.openTLS,
 	}
 	for _, event := range []poolEvent{eventOpened, eventReused, eventPassedOver, eventRetired} {
 		p.counters[event] = o.Metrics.NewCounter(fmt.Sprintf("primrosebeam_engine_connections_total{event=%q}", event))
@@ -100,9 +110,9 @@
 	return "enginelink: new connection to " + e.Address + " cannot be used for this request"
 }
 
-// Acquire returns a connection for one request with the given ID, which it has not carried yet. usable limits the
-// connections that are accepted; nil accepts all. The error is that of the dial, *UnusableError, or the cause of the end
-// of ctx.
+// Acquire returns a connection for one request with the given ID, which it has not carried yet. The address is IP:port,
+// or https://IP:port for TLS. usable limits the connections that are accepted; nil accepts all. The error is that of the
+// dial, *UnusableError, or the cause of the end of ctx.
 func (p *Pool) Acquire(ctx context.Context, address, id string, usable func(*Connection) bool) (*Lease, error) {
 	c, err := p.acquire(ctx, address, func(c *pooled) bool {
 		if c.carried.has(id) {
@@ -224,7 +234,12 @@
 // dial opens a connection for a waiter. If the waiter has been served meanwhile, others get the connection.
 func (p *Pool) dial(ctx context.Context, address string, w *waiter) {
 	opened := &pooled{address: address}
-	client, err := p.transport.NewClientConn(context.WithValue(ctx, openedKey{}, &opened.Connection), "http", address)
+	scheme := "http"
+	target, secure := strings.CutPrefix(address, tlsPrefix)
+	if secure {
+		scheme = "https"
+	}
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, openedKey{}, &opened.Connection), scheme, target)
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -273,6 +288,33 @@
 	return c, nil
 }
 
+// openTLS opens a connection over TLS and hands it to dial. The written bytes are counted without those of TLS itself,
+// which are also written when a connection is closed.
+func (p *Pool) openTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := p.options.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	config := p.tls.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName, _, err = net.SplitHostPort(address); err != nil {
+		_ = raw.Close() // the caller reports why
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tlsHandshakeTimeout)
+	defer cancel()
+	secured := tls.Client(raw, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close() // the caller reports why
+		return nil, err
+	}
+	c := NewConnection(secured)
+	*ctx.Value(openedKey{}).(**Connection) = c
+	return c, nil
+}
+
 // put gives a connection without a user to the first waiter that accepts it, or keeps it.
 func (p *Pool) put(c *pooled) {
 	c.kept = true
--- a/internal/enginelink/pool_test.go
+++ b/internal/enginelink/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -270,3 +271,45 @@
 	time.Sleep(2 * p.options.IdleTimeout)
 	is.True(use(t, p, e.address, "b") != first)
 }
+
+// Guards against an engine with an https URL that is not reached, or by a new connection for each request, and against a
+// request over TLS that is taken for sent because of the handshake.
+func TestConnectionOverTLS(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Id", r.Header.Get("Id")) }))
+	defer server.Close()
+	dials := 0
+	p := NewPool(PoolOptions{MaxIdle: 2, IdleTimeout: testIdleTimeout, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	defer p.CloseIdle()
+	p.tls = server.Client().Transport.(*http.Transport).TLSClientConfig
+	for i := range 10 {
+		l, err := p.Acquire(t.Context(), server.URL, fmt.Sprint(i), nil)
+		is.NoErr(err)
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/", nil)
+		is.NoErr(err)
+		r.Header.Set("Id", fmt.Sprint(i))
+		response, err := l.RoundTrip(r)
+		is.NoErr(err)
+		is.Equal(response.Header.Get("Id"), fmt.Sprint(i))
+		is.NoErr(response.Body.Close())
+		l.Release()
+	}
+	is.Equal(dials, 1)
+	for _, closeConnection := range []func(*Lease){
+		func(l *Lease) { l.c.Conn.Close() },
+		func(*Lease) { server.CloseClientConnections() },
+	} {
+		l, err := p.Acquire(t.Context(), server.URL, "last", nil)
+		is.NoErr(err)
+		closeConnection(l)
+		time.Sleep(20 * time.Millisecond)
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/", nil)
+		is.NoErr(err)
+		_, err = l.RoundTrip(r)
+		is.True(err != nil)
+		is.True(l.Unsent())
+	}
+}
