Send requests of the product's own path over the pool of connections

A caller got the events of a stream twice, and the response counted as complete: the stream had ended before its last event, it was resumed under the same ID on the same connection, and the engine wrote its first response once more. In the same way a copy of a refusal ended a stream that could be resumed, a copy of a response confirmed a cancellation that the engine refused, and a copy without a body cost two requests, as its connection went to the next one before it was looked at.

Cause: internal/upstream kept connections with http.Transport, and a resumption or cancellation has the ID of its request.

Change: internal/upstream takes connections from enginelink.Pool, asks for the begin between Acquire and RoundTrip, and releases them when the body is closed. A refusal of the begin leaves the connection to others.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,11 +48,12 @@
 
 // New builds an instance and opens its listeners. Run starts it.
 func New(o Options) (*Instance, error) {
+	set := metrics.NewSet()
 	i := &Instance{
 		options:     o,
 		incarnation: uint64(time.Now().UnixNano()),
-		metrics:     metrics.NewSet(),
-		upstream:    upstream.New(),
+		metrics:     set,
+		upstream:    upstream.NewWithMetrics(set),
 	}
 	i.dispatch = dispatch.New(dispatch.Options{
 		Scheduler: scheduler.New(scheduler.Options{
--- a/internal/enginelink/connection.go
+++ b/internal/enginelink/connection.go
@@ -30,6 +30,9 @@
 // Born returns what the process has stated as its time of birth, or 0 if it was not asked.
 func (c *Connection) Born() int64 { return c.born }
 
+// Unused reports whether the connection has carried no request, call or question yet.
+func (c *Connection) Unused() bool { return c.uses == 0 && c.born == 0 }
+
 // Write implements net.Conn.
 func (c *Connection) Write(data []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -29,11 +29,21 @@
 
 const token = "token-of-the-test"
 
-// startHandler starts a handler that forwards to one engine and returns its URL.
+// startHandler starts a handler that forwards to one engine of a plain service and returns its URL.
 func startHandler(t *testing.T, engine http.HandlerFunc, route configuration.Route) string {
 	t.Helper()
 	backend := httptest.NewServer(engine)
 	t.Cleanup(backend.Close)
+	return startHandlerFor(t, configuration.KindPlain, route, backend.URL, "http://127.0.0.1:1")
+}
+
+// startHandlerFor starts a handler for a service that has engines with the given URLs and returns its URL.
+func startHandlerFor(t *testing.T, kind string, route configuration.Route, engineURLs ...string) string {
+	t.Helper()
+	engines := []configuration.Engine{}
+	for i, url := range engineURLs {
+		engines = append(engines, configuration.Engine{Name: string(rune('e' + i)), URL: url, DataCentre: "bern"})
+	}
 	sum := sha256.Sum256([]byte(token))
 	view, err := configuration.Resolve(1, &configuration.Document{
 		Tiers: []configuration.Tier{
@@ -43,12 +53,9 @@
 		TierRules:  []configuration.TierRule{{When: "work!=report", Tier: "urgent"}},
 		Workspaces: []configuration.Workspace{{Name: "w", TokenSHA256: []string{hex.EncodeToString(sum[:])}}},
 		Services: []configuration.Service{
-			{Name: "s", Kind: configuration.KindPlain, RetryBudget: 1, Routes: []configuration.Route{route}},
-		},
-		Engines: []configuration.Engine{
-			{Name: "e", URL: backend.URL, DataCentre: "bern"},
-			{Name: "f", URL: "http://127.0.0.1:1", DataCentre: "bern"},
+			{Name: "s", Kind: kind, RetryBudget: 1, Routes: []configuration.Route{route}},
 		},
+		Engines: engines,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -27,7 +27,7 @@
 			Msg("could not join the stream of the first attempt")
 		return nil, false
 	}
-	defer response.Body.Close()
+	defer func() { response.Body.Close() }() // a resumed stream has another body
 	x.key.requestID = status.RequestID
 	x.key.fence = ledger.Fence{} // A response read by resuming is reported under the engine's request ID.
 	relay := &relay{exchange: x, response: response, engineRequestID: status.RequestID}
@@ -68,6 +68,7 @@
 		return false
 	}
 	r.endStream()
+	r.response.Body.Close() // its connection serves other requests while the owner is asked
 	r.exchange.store(r.storedResponse(r.streamCopy.data, r.streamCopy.omitted))
 	return true
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -71,6 +71,7 @@
 		r.result.Result = scheduler.ResultFailed
 	}
 	if len(start) <= limit {
+		r.response.Body.Close() // its connection serves other requests while the owner is asked
 		r.readUsage(start)
 		r.exchange.store(r.storedResponse(start, false))
 		r.writeComplete(start)
@@ -92,6 +93,7 @@
 	if !r.copyBody() {
 		return
 	}
+	r.response.Body.Close()
 	r.writeTrailers()
 	r.endStream()
 	r.exchange.store(r.storedResponse(nil, true))
@@ -210,6 +212,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			r.response.Body.Close()
 			r.endStream()
 			x.store(r.storedResponse(nil, true))
 			return
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return x.handleFailure(ctx, ticket, err)
 	}
-	defer response.Body.Close()
+	defer func() { response.Body.Close() }() // a resumed stream has another body
 	x.reportLeaving(response)
 	relay := &relay{exchange: x, ticket: ticket, response: response, engineRequestID: x.attemptID(), timer: timer}
 	problem = relay.run(ctx)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/primrosebeam/primrosebeam/internal/enginelink"
 )
 
 // Names of the headers that are exchanged with engines.
@@ -30,58 +34,40 @@
 
 // Client sends requests to engines. It is safe for concurrent use.
 //
-// An engine may send a second copy of a response late, where the next response on the connection is expected.
-// Connections for callers' requests are therefore reused only with engines that echo the request ID, by which
-// such a copy is recognized, and never for calls of the control interface.
+// An engine may send a second copy of a response at any time, also where the next response on the connection is
+// expected. The echoed request ID tells such a copy from the response, unless both have the same ID. Therefore a
+// connection carries a request ID once, it is reused only with engines that echo the ID, and never for both requests
+// and calls of the control interface.
 type Client struct {
-	echoing *http.Transport // requests to engines that are known to echo the request ID
-	single  *http.Transport // requests to other engines: one request on each connection
-	control *http.Transport // calls of the control interface
-	echoes  sync.Map        // base URLs of the engines that echo the request ID
+	requests *enginelink.Pool // requests of callers, and calls that resume or cancel them
+	control  *enginelink.Pool // calls of the control interface
+	echoes   sync.Map         // base URLs of the engines that echo the request ID
 }
 
 // New returns a client. It ignores the proxy settings of the environment and needs no name look-ups, since
 // the URLs of engines contain IP addresses.
-func New() *Client {
-	single := newTransport()
-	single.MaxIdleConnsPerHost = -1 // unlike DisableKeepAlives, this does not change the request
-	return &Client{echoing: newTransport(), single: single, control: newTransport()}
+func New() *Client { return NewWithMetrics(nil) }
+
+// NewWithMetrics returns a client that counts the connections for requests in a set of metrics.
+func NewWithMetrics(set *metrics.Set) *Client {
+	return &Client{requests: newPool(set), control: newPool(nil)}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: connection}, nil
-		},
-		MaxIdleConnsPerHost:    maxIdlePerEngine,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true, // the response is relayed unchanged
+func newPool(set *metrics.Set) *enginelink.Pool {
+	return enginelink.NewPool(enginelink.PoolOptions{
+		Dial:                   (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdle:                maxIdlePerEngine,
+		IdleTimeout:            idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderSize,
-		ReadBufferSize:         readBufferSize,
-	}
+		ReadBufferBytes:        readBufferSize,
+		Metrics:                set,
+	})
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.echoing.CloseIdleConnections()
-	c.control.CloseIdleConnections()
-}
-
-// transportFor returns the transport for a request. mustEcho reports whether a response without the request ID
-// is to be discarded.
-func (c *Client) transportFor(r *Request) (transport *http.Transport, mustEcho bool) {
-	if r.ID == "" {
-		return c.control, false
-	}
-	if _, echoes := c.echoes.Load(r.URL); echoes {
-		return c.echoing, true
-	}
-	return c.single, false
+	c.requests.CloseIdle()
+	c.control.CloseIdle()
 }
 
 // Request is one request to an engine.
@@ -93,51 +79,108 @@
 	Header http.Header
 	Body   []byte
 	ID     string // request ID that the engine echoes in its response; empty for calls of the control interface
-	// BeforeSend is called when a connection is established and before the first byte is written. If it
-	// returns an error, nothing is sent. It may be nil.
+	// BeforeSend is called once, when a connection is available and before the first byte is written. If it returns
+	// an error, nothing is sent. It may be nil.
 	BeforeSend func(ctx context.Context) error
 }
 
 // Do sends r and returns the engine's response as soon as its header has arrived. The caller closes the
-// body. Errors: *NotSentError, *BeforeSendError, *IncompleteResponseError, *MismatchError.
+// body; the connection is not available to other requests before. Errors: *NotSentError, *BeforeSendError,
+// *IncompleteResponseError, *MismatchError.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
-	gate := &gate{beforeSend: r.BeforeSend}
-	outgoing, err := r.build(gate.trace(ctx))
-	if err != nil {
-		return nil, &NotSentError{Engine: r.Engine, Cause: err}
-	}
-	transport, mustEcho := c.transportFor(&r)
-	response, err := transport.RoundTrip(outgoing)
+	_, mustEcho := c.echoes.Load(r.URL)
+	lease, response, err := c.roundTrip(ctx, &r, mustEcho)
 	if err != nil {
-		return nil, gate.classify(r.Engine, err)
+		return nil, err
 	}
 	got := response.Header.Get(HeaderRequestID)
-	if r.ID != "" && got != r.ID && (got != "" || mustEcho) {
+	end := lease.Release
+	switch {
+	case r.ID == "":
+	case got == r.ID:
+		c.echoes.Store(r.URL, true)
+	case got != "" || mustEcho:
+		lease.Close() // the response to this request may still arrive on it
 		response.Body.Close()
-		gate.closeConnection() // the response to this request may still arrive on it
 		c.echoes.Delete(r.URL)
 		return nil, &MismatchError{Engine: r.Engine, Want: r.ID, Got: got}
+	default:
+		end = lease.Close
 	}
-	if got != "" && got == r.ID {
-		c.echoes.Store(r.URL, true)
-	}
+	response.Body = &body{ReadCloser: response.Body, end: end}
 	return response, nil
 }
 
-func (r Request) build(ctx context.Context) (*http.Request, error) {
-	// Without GetBody the transport can't replay the request on another connection after a byte was
-	// written. It would do so for GET.
-	body := io.NopCloser(bytes.NewReader(r.Body))
-	outgoing, err := http.NewRequestWithContext(ctx, r.Method, strings.TrimSuffix(r.URL, "/")+r.Target, body)
+// roundTrip sends r once. A connection that was kept may turn out to be closed; if nothing of r was sent on it, another
+// one is used.
+func (c *Client) roundTrip(ctx context.Context, r *Request, mustEcho bool) (*enginelink.Lease, *http.Response, error) {
+	permitted := r.BeforeSend == nil
+	for {
+		outgoing, err := r.build(ctx)
+		if err != nil {
+			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
+		}
+		lease, err := c.acquire(ctx, r, mustEcho)
+		if err != nil {
+			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
+		}
+		if !permitted {
+			if err := r.BeforeSend(ctx); err != nil {
+				lease.Release()
+				return nil, nil, &BeforeSendError{Engine: r.Engine, Cause: err}
+			}
+			permitted = true
+		}
+		response, err := lease.RoundTrip(outgoing)
+		if err == nil {
+			return lease, response, nil
+		}
+		if !lease.Unsent() {
+			return nil, nil, &IncompleteResponseError{Engine: r.Engine, Cause: err}
+		}
+		if !lease.Reused() || ctx.Err() != nil {
+			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
+		}
+	}
+}
+
+func (c *Client) acquire(ctx context.Context, r *Request, mustEcho bool) (*enginelink.Lease, error) {
+	address := strings.TrimPrefix(strings.TrimSuffix(r.URL, "/"), "http://")
+	switch {
+	case r.ID == "":
+		return c.control.AcquireForCall(ctx, address)
+	case mustEcho:
+		return c.requests.Acquire(ctx, address, r.ID, nil)
+	}
+	return c.requests.Acquire(ctx, address, r.ID, (*enginelink.Connection).Unused)
+}
+
+// body is the body of a response. Its end is that of the use of the connection.
+type body struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
+
+func (r *Request) build(ctx context.Context) (*http.Request, error) {
+	var content io.Reader
+	if len(r.Body) > 0 {
+		content = bytes.NewReader(r.Body)
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, r.Method, strings.TrimSuffix(r.URL, "/")+r.Target, content)
 	if err != nil {
 		return nil, fmt.Errorf("upstream: build request: %w", err)
 	}
 	if r.Header != nil {
 		outgoing.Header = r.Header
 	}
-	if len(r.Body) > 0 {
-		outgoing.ContentLength = int64(len(r.Body))
-	}
 	if r.ID != "" {
 		outgoing.Header.Set(HeaderRequestID, r.ID)
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,3 +124,47 @@
 	var notSent *upstream.NotSentError
 	is.True(errors.As(err, &notSent))
 }
+
+// Guards against a request that fails, or whose begin is asked twice, because the engine closes a kept connection while
+// the begin is asked.
+func TestConnectionThatClosesDuringBegin(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var last net.Conn
+	engine := startRawEngine(t, func(c net.Conn, r *http.Request, _ int) bool {
+		mu.Lock()
+		last = c
+		mu.Unlock()
+		_, err := io.WriteString(c, rawResponse(r.Header.Get(upstream.HeaderRequestID), r.URL.Path))
+		return err == nil
+	})
+	client := upstream.New()
+	defer client.Close()
+	begins := 0
+	do := func(id string, closeConnection bool) {
+		response, err := client.Do(context.Background(), upstream.Request{
+			Engine: "e", URL: "http://" + engine.Address(), Method: http.MethodPost, Target: "/" + id, Header: http.Header{}, Body: []byte("x"), ID: id,
+			BeforeSend: func(context.Context) error {
+				begins++
+				if closeConnection {
+					mu.Lock()
+					last.Close()
+					mu.Unlock()
+					time.Sleep(20 * time.Millisecond)
+				}
+				return nil
+			},
+		})
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "/"+id)
+		is.NoErr(response.Body.Close())
+	}
+	do("a", false)
+	do("b", false)
+	accepted := engine.Accepted()
+	do("c", true)
+	is.Equal(engine.Accepted(), accepted+1)
+	is.Equal(begins, 3)
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -1,5 +1,5 @@
-// Package upstream implements the HTTP client for engines. It never sends a request twice: it disables the
-// retries of the standard transport, and its errors state whether a byte may have reached an engine.
+// Package upstream implements the HTTP client for engines. It never sends a request twice, and its errors state whether
+// a byte may have reached an engine.
 package upstream
 
 import "fmt"
