Give calls of the engines' control interface IDs

Reports of an engine were taken from the responses to other calls: a load of 0 from a copy of its lifecycle, its lifecycle from a copy of an older one without the notice of leaving, cache events that had been read before, or "no report" from a copy of a refusal. The scheduler would have sent requests to a full engine, and heard of a leaving one late; an instance polls that engine for its neighbours as well.

Cause: responses to control calls name neither the engine nor the call, and the calls share connections.

Change: a call has an ID of its own. As for requests, a connection is kept only where the response echoes it, and carried an ID once; other engines get a connection for each call. If a response bears another ID, the report is read once more on a new connection. A call on a connection of its own accepts any ID, since there are services that put their own into each response. The stand-ins echo the IDs. AcquireForCall has no use any more.

Tests changed: TestNothingIsSentWhenBeforeSendFails and TestGetIsNotReplayedAfterItWasSent relied on connections that are reused without IDs. Their requests have IDs now, which their engines echo; the former also checks that one connection serves all, refused begins included.

--- a/internal/enginelink/pool.go
+++ b/internal/enginelink/pool.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := p.lease(c, &id)
+	l := p.lease(c, id)
 	if ctx.Err() != nil {
 		l.Release()
 		return nil, context.Cause(ctx)
@@ -132,16 +132,6 @@
 	return l, nil
 }
 
-// AcquireForCall returns a connection for a call whose response is not identified. Connections for such calls must not
-// be used for requests.
-func (p *Pool) AcquireForCall(ctx context.Context, address string) (*Lease, error) {
-	c, err := p.acquire(ctx, address, func(*pooled) bool { return true })
-	if err != nil {
-		return nil, err
-	}
-	return p.lease(c, nil), nil
-}
-
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
@@ -365,14 +355,14 @@
 type Lease struct {
 	pool    *Pool
 	c       *pooled
-	id      *string // nil for a call without an ID
+	id      string
 	reused  bool
 	written int64 // bytes written on the connection before
 	sent    bool
 	ended   bool
 }
 
-func (p *Pool) lease(c *pooled, id *string) *Lease {
+func (p *Pool) lease(c *pooled, id string) *Lease {
 	l := &Lease{pool: p, c: c, id: id, reused: c.uses > 0, written: c.count()}
 	if l.reused {
 		p.counters[eventReused].Inc()
@@ -393,9 +383,7 @@
 func (l *Lease) RoundTrip(r *http.Request) (*http.Response, error) {
 	l.sent = true
 	l.c.uses++
-	if l.id != nil {
-		l.c.carried.add(*l.id)
-	}
+	l.c.carried.add(l.id)
 	response, err := l.c.client.RoundTrip(r)
 	if errors.Is(err, io.EOF) {
 		return nil, io.EOF // without the text of net/http
@@ -415,7 +403,7 @@
 	if l.ended {
 		return
 	}
-	if l.sent && l.id != nil && *l.id == "" {
+	if l.sent && l.id == "" {
 		l.Close() // it can serve no other request without an ID
 		return
 	}
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -25,12 +25,14 @@
 	"github.com/primrosebeam/primrosebeam/scheduler"
 )
 
-// recorder records the last engine state and the cache events delivered, and counts all events.
+// recorder records the last engine state, the load reports and the cache events delivered, and counts all events.
 type recorder struct {
-	mu     sync.Mutex
-	state  scheduler.EngineState
-	caches []scheduler.CacheEvents
-	events int
+	mu          sync.Mutex
+	state       scheduler.EngineState
+	unreachable int // states in which the engine did not respond
+	loads       []scheduler.LoadReport
+	caches      []scheduler.CacheEvents
+	events      int
 }
 
 func (r *recorder) deliver(e scheduler.Event) {
@@ -40,6 +42,11 @@
 	switch e := e.(type) {
 	case scheduler.EngineState:
 		r.state = e
+		if !e.Reachable {
+			r.unreachable++
+		}
+	case scheduler.LoadReport:
+		r.loads = append(r.loads, e)
 	case scheduler.CacheEvents:
 		r.caches = append(r.caches, e)
 	}
@@ -212,3 +219,50 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// Guards against an engine whose leaving notice is missed, or whose load seems to be 0, because it repeats its responses.
+func TestCopyOfResponseIsNoReport(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	leaving, previous := false, map[net.Conn]string{}
+	engine, err := standin.StartRawEngine("127.0.0.1:0", func(c net.Conn, r *http.Request, _ int) bool {
+		mu.Lock()
+		body := map[string]string{
+			"/v1/lifecycle": fmt.Sprintf(`{"incarnation":7,"leaving":%v}`, leaving), "/metrics": "engine_num_requests_running 3\n",
+		}[r.URL.Path]
+		unasked := previous[c]
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		previous[c] = response
+		mu.Unlock()
+		if unasked != "" {
+			io.WriteString(c, unasked) // a failure shows at the next write
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, err := io.WriteString(c, response)
+		return err == nil
+	})
+	is.NoErr(err)
+	defer engine.Close()
+	_, r := start(t, "http://"+engine.Address(), 20*time.Millisecond, nil)
+	eventually(t, "a report", func() bool { return r.loadReports() > 0 })
+	mu.Lock()
+	leaving = true
+	mu.Unlock()
+	eventually(t, "a leaving engine", func() bool { return r.last().Leaving })
+	reports := r.loadReports()
+	eventually(t, "further reports", func() bool { return r.loadReports() >= reports+10 })
+	is.True(r.last().Leaving)
+	is.Equal(r.last().Incarnation, uint64(7))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, load := range r.loads {
+		is.Equal(load.Running, 3)
+	}
+	is.Equal(r.unreachable, 0)
+}
+
+func (r *recorder) loadReports() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.loads)
+}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -99,16 +99,24 @@
 	case strings.HasPrefix(r.URL.Path, "/v1/requests/"):
 		m.serveRequest(w, r, strings.TrimPrefix(r.URL.Path, "/v1/requests/"))
 	case r.URL.Path == "/metrics":
+		echoID(w, r)
 		m.serveMetrics(w)
 	case r.URL.Path == "/v1/lifecycle":
+		echoID(w, r)
 		m.serveLifecycle(w)
 	case r.URL.Path == "/v1/cache-events":
+		echoID(w, r)
 		m.cache.serve(w, r)
 	default:
 		writeJSON(w, http.StatusNotFound, map[string]string{"error": "not found"})
 	}
 }
 
+// echoID repeats the ID of a call in the response.
+func echoID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+}
+
 // serveCompletion runs a completion request and responds with its stream or its complete text.
 func (m *Model) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	var request prompt.Request
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -58,8 +58,10 @@
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/metrics":
+		echoID(w, r)
 		p.serveMetrics(w)
 	case "/v1/lifecycle":
+		echoID(w, r)
 		p.mu.Lock()
 		leaving := p.leaving
 		p.mu.Unlock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,12 +37,20 @@
 //
 // An engine may send a second copy of a response at any time, also where the next response on the connection is
 // expected. The echoed request ID tells such a copy from the response, unless both have the same ID. Therefore a
-// connection carries a request ID once, it is reused only with engines that echo the ID, and never for both requests
-// and calls of the control interface.
+// connection carries a request ID once, calls of the control interface have IDs as well, and a connection is kept only
+// if the response on it echoed the ID. Requests and calls of the control interface share no connections, so that a copy
+// of a report costs no request.
 type Client struct {
 	requests *enginelink.Pool // requests of callers, and calls that resume or cancel them
 	control  *enginelink.Pool // calls of the control interface
-	echoes   sync.Map         // base URLs of the engines that echo the request ID
+	echoes   sync.Map         // endpoints that echo the request ID
+	calls    atomic.Uint64    // calls of the control interface so far
+}
+
+// endpoint is a part of an engine whose responses either all echo the request ID or do not.
+type endpoint struct {
+	url  string // base URL of the engine
+	path string // of a call of the control interface, and empty for requests
 }
 
 // New returns a client. It ignores the proxy settings of the environment and needs no name look-ups, since
@@ -78,7 +87,7 @@
 	Target string // path and query
 	Header http.Header
 	Body   []byte
-	ID     string // request ID that the engine echoes in its response; empty for calls of the control interface
+	ID     string // request ID that the engine echoes in its response
 	// BeforeSend is called once, when a connection is available and before the first byte is written. If it returns
 	// an error, nothing is sent. It may be nil.
 	BeforeSend func(ctx context.Context) error
@@ -88,39 +97,53 @@
 // body; the connection is not available to other requests before. Errors: *NotSentError, *BeforeSendError,
 // *IncompleteResponseError, *MismatchError.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
-	_, mustEcho := c.echoes.Load(r.URL)
-	lease, response, err := c.roundTrip(ctx, &r, mustEcho)
+	return c.send(ctx, &r, endpoint{url: r.URL})
+}
+
+func (c *Client) send(ctx context.Context, r *Request, e endpoint) (*http.Response, error) {
+	_, mustEcho := c.echoes.Load(e)
+	lease, response, err := c.roundTrip(ctx, r, e, mustEcho)
 	if err != nil {
 		return nil, err
 	}
 	got := response.Header.Get(HeaderRequestID)
 	end := lease.Release
 	switch {
-	case r.ID == "":
-	case got == r.ID:
-		c.echoes.Store(r.URL, true)
-	case got != "" || mustEcho:
+	case got == r.ID && r.ID != "":
+		c.echoes.Store(e, true)
+	case mustEcho || got != "" && !e.isControl():
 		lease.Close() // the response to this request may still arrive on it
 		response.Body.Close()
-		c.echoes.Delete(r.URL)
+		c.echoes.Delete(e)
 		return nil, &MismatchError{Engine: r.Engine, Want: r.ID, Got: got}
 	default:
-		end = lease.Close
+		end = lease.Close // it has carried nothing else, but would not tell copies of this response from the next one
 	}
 	response.Body = &body{ReadCloser: response.Body, end: end}
 	return response, nil
 }
 
+func (e endpoint) isControl() bool { return e.path != "" }
+
 // roundTrip sends r once. A connection that was kept may turn out to be closed; if nothing of r was sent on it, another
 // one is used.
-func (c *Client) roundTrip(ctx context.Context, r *Request, mustEcho bool) (*enginelink.Lease, *http.Response, error) {
+func (c *Client) roundTrip(ctx context.Context, r *Request, e endpoint, mustEcho bool) (*enginelink.Lease, *http.Response, error) {
+	pool := c.requests
+	if e.isControl() {
+		pool = c.control
+	}
+	usable := (*enginelink.Connection).Unused
+	if mustEcho {
+		usable = nil
+	}
+	address := strings.TrimPrefix(strings.TrimSuffix(r.URL, "/"), "http://")
 	permitted := r.BeforeSend == nil
 	for {
 		outgoing, err := r.build(ctx)
 		if err != nil {
 			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
 		}
-		lease, err := c.acquire(ctx, r, mustEcho)
+		lease, err := pool.Acquire(ctx, address, r.ID, usable)
 		if err != nil {
 			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
 		}
@@ -144,17 +167,6 @@
 	}
 }
 
-func (c *Client) acquire(ctx context.Context, r *Request, mustEcho bool) (*enginelink.Lease, error) {
-	address := strings.TrimPrefix(strings.TrimSuffix(r.URL, "/"), "http://")
-	switch {
-	case r.ID == "":
-		return c.control.AcquireForCall(ctx, address)
-	case mustEcho:
-		return c.requests.Acquire(ctx, address, r.ID, nil)
-	}
-	return c.requests.Acquire(ctx, address, r.ID, (*enginelink.Connection).Unused)
-}
-
 // body is the body of a response. Its end is that of the use of the connection.
 type body struct {
 	io.ReadCloser
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -23,15 +23,25 @@
 // connection.
 func TestNothingIsSentWhenBeforeSendFails(t *testing.T) {
 	is := is.New(t)
-	var requests atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	var requests, connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
 	defer server.Close()
 	client := upstream.New()
 	request := upstream.Request{Engine: "e", URL: server.URL, Method: http.MethodPost, Target: "/", Body: []byte("x")}
 	refused := request
 	refused.BeforeSend = func(context.Context) error { return &upstream.StatusError{Status: 1} }
-	for _, r := range []upstream.Request{refused, request, refused} {
+	for i, r := range []upstream.Request{refused, request, refused, request} {
 		r.Header = http.Header{}
+		r.ID = fmt.Sprint(i)
 		response, err := client.Do(context.Background(), r)
 		if r.BeforeSend == nil {
 			is.NoErr(err)
@@ -43,7 +53,8 @@
 		is.True(upstream.IsNotSent(err))
 	}
 	time.Sleep(50 * time.Millisecond)
-	is.Equal(requests.Load(), int32(1))
+	is.Equal(requests.Load(), int32(2))
+	is.Equal(connections.Load(), int32(1))
 }
 
 // closingServer responds to the first request of each connection and closes the connection after it has read
@@ -64,12 +75,13 @@
 				defer connection.Close()
 				reader := bufio.NewReader(connection)
 				for n := range 2 {
-					if _, err := http.ReadRequest(reader); err != nil {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
 						return
 					}
 					requests.Add(1)
 					if n == 0 {
-						fmt.Fprint(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						io.WriteString(connection, rawResponse(r.Header.Get(upstream.HeaderRequestID), "")) // a failure shows as a missing response
 					}
 				}
 			}()
@@ -84,16 +96,16 @@
 	var requests atomic.Int32
 	url := closingServer(t, &requests)
 	client := upstream.New()
-	do := func() error {
-		response, err := client.Do(context.Background(), upstream.Request{Engine: "e", URL: url, Method: http.MethodGet, Target: "/", Header: http.Header{}})
+	do := func(id string) error {
+		response, err := client.Do(context.Background(), upstream.Request{Engine: "e", URL: url, Method: http.MethodGet, Target: "/", Header: http.Header{}, ID: id})
 		if err == nil {
 			response.Body.Close()
 		}
 		return err
 	}
-	is.NoErr(do())
+	is.NoErr(do("a"))
 	var broken *upstream.IncompleteResponseError
-	is.True(errors.As(do(), &broken))
+	is.True(errors.As(do("b"), &broken))
 	is.Equal(requests.Load(), int32(2))
 }
 
--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,7 +58,7 @@
 
 // FetchLoad reads the engine's Prometheus metrics. Errors: those of Do, *StatusError, *ReportError.
 func (c *Client) FetchLoad(ctx context.Context, engine, baseURL string) (Load, error) {
-	body, err := c.fetch(ctx, engine, baseURL, pathMetrics)
+	body, err := c.fetch(ctx, engine, baseURL, pathMetrics, "")
 	if err != nil {
 		return Load{}, err
 	}
@@ -102,7 +103,7 @@
 // FetchLifecycle reads the engine's lifecycle state. Errors: those of Do, *StatusError, *ReportError.
 func (c *Client) FetchLifecycle(ctx context.Context, engine, baseURL string) (Lifecycle, error) {
 	var lifecycle Lifecycle
-	err := c.fetchJSON(ctx, engine, baseURL, pathLifecycle, &lifecycle)
+	err := c.fetchJSON(ctx, engine, baseURL, pathLifecycle, "", &lifecycle)
 	return lifecycle, err
 }
 
@@ -110,24 +111,30 @@
 // *StatusError, *ReportError.
 func (c *Client) FetchCacheEvents(ctx context.Context, engine, baseURL string, first uint64) (CacheBatch, error) {
 	var batch CacheBatch
-	err := c.fetchJSON(ctx, engine, baseURL, fmt.Sprintf("%s?first=%d", pathCacheEvents, first), &batch)
+	err := c.fetchJSON(ctx, engine, baseURL, pathCacheEvents, fmt.Sprintf("?first=%d", first), &batch)
 	return batch, err
 }
 
-func (c *Client) fetchJSON(ctx context.Context, engine, baseURL, target string, into any) error {
-	body, err := c.fetch(ctx, engine, baseURL, target)
+func (c *Client) fetchJSON(ctx context.Context, engine, baseURL, path, query string, into any) error {
+	body, err := c.fetch(ctx, engine, baseURL, path, query)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
 	if err := json.NewDecoder(io.LimitReader(body, maxReportBytes)).Decode(into); err != nil {
-		return &ReportError{Engine: engine, Path: target, Cause: err}
+		return &ReportError{Engine: engine, Path: path + query, Cause: err}
 	}
 	return nil
 }
 
-func (c *Client) fetch(ctx context.Context, engine, baseURL, target string) (io.ReadCloser, error) {
-	response, err := c.Do(ctx, Request{Engine: engine, URL: baseURL, Method: http.MethodGet, Target: target, Header: http.Header{}})
+// fetch returns the body of a report. A response to another call is discarded, and the report is read once more, on a
+// new connection: to read it twice has no effect.
+func (c *Client) fetch(ctx context.Context, engine, baseURL, path, query string) (io.ReadCloser, error) {
+	response, err := c.get(ctx, engine, baseURL, path, query)
+	var mismatch *MismatchError
+	if errors.As(err, &mismatch) {
+		response, err = c.get(ctx, engine, baseURL, path, query)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -137,3 +144,10 @@
 	}
 	return response.Body, nil
 }
+
+func (c *Client) get(ctx context.Context, engine, baseURL, path, query string) (*http.Response, error) {
+	return c.send(ctx, &Request{
+		Engine: engine, URL: baseURL, Method: http.MethodGet, Target: path + query, Header: http.Header{},
+		ID: "call-" + strconv.FormatUint(c.calls.Add(1), 36),
+	}, endpoint{url: baseURL, path: path})
+}
