Replace an unused connection that broke on the product's own path too

Cause: only connections that had carried a request counted as kept, as on the platform's path before. Change: the same condition as there, which TestUnusedConnectionThatBrokeIsReplaced checks; the own path has no test of it, as its dials cannot be replaced.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -162,7 +162,7 @@
 		if !lease.Unsent() {
 			return nil, nil, &IncompleteResponseError{Engine: r.Engine, Cause: err}
 		}
-		if !lease.Reused() || ctx.Err() != nil {
+		if !lease.Kept() || ctx.Err() != nil {
 			return nil, nil, &NotSentError{Engine: r.Engine, Cause: err}
 		}
 	}
