Apply versions in tests before the worker that owns them starts

Cause: two tests called a method of the worker of the version in force from their own goroutine while that worker started.

Change: they put the version in force before the worker starts. The checks are the same; TestVersionIsSavedOnceWritesSucceed still fails without the second attempt to save.

--- a/internal/control/subscriber_test.go
+++ b/internal/control/subscriber_test.go
@@ -14,6 +14,11 @@
 	"github.com/primrosebeam/primrosebeam/configuration"
 )
 
+// withVersion puts a version in force before the worker starts, which then owns it.
+func withVersion(version configuration.Version) func(*Control) {
+	return func(c *Control) { c.subscriber.applyIfNewer(version, document(7, 1), nil) }
+}
+
 // startWithStaleSources returns a check that starts an instance with an old file on disk and a neighbour
 // with an older version, and fails when the version in force decreases.
 func startWithStaleSources(adjust func(*Control)) func(t *testing.T, net *fakeNetwork) error {
@@ -26,10 +31,8 @@
 		replicas := []Peer{{"r-bern", "bern"}} // this replica is not started
 		net.leader = "r-bern"
 		node := net.start(t, replicas, "disk", "bern", directory, adjust)
-		stale := net.start(t, replicas, "stale", "bern", "", nil)
-		fresh := net.start(t, replicas, "fresh", "bern", "", nil)
-		stale.control.subscriber.applyIfNewer(2, document(7, 1), nil)
-		fresh.control.subscriber.applyIfNewer(5, document(7, 1), nil)
+		net.start(t, replicas, "stale", "bern", "", withVersion(2))
+		net.start(t, replicas, "fresh", "bern", "", withVersion(5))
 		time.Sleep(3 * time.Second)
 		node.control.subscriber.loadFromDisk() // simulates a file that was restored from an older backup
 		version, old, err := loadVersion(directory)
@@ -166,10 +169,11 @@
 		blocker := filepath.Join(t.TempDir(), "data")
 		directory := filepath.Join(blocker, "control")
 		is.NoErr(os.WriteFile(blocker, nil, 0o600)) // the directory cannot be created
-		node := net.start(t, []Peer{{"r-bern", "bern"}}, "a", "bern", directory, nil)
 		payload, err := encodePayload(3, document(7, 1))
 		is.NoErr(err)
-		node.control.subscriber.applyIfNewer(3, document(7, 1), payload)
+		net.start(t, []Peer{{"r-bern", "bern"}}, "a", "bern", directory, func(c *Control) {
+			c.subscriber.applyIfNewer(3, document(7, 1), payload)
+		})
 		is.NoErr(os.Remove(blocker))
 		time.Sleep(30 * time.Second)
 		version, _, err := loadVersion(directory)
