Log a disk that delays a version of the configuration

Cause: an instance saves a version before it puts it in force, so that it never returns to a lower one. A stalled disk therefore delays the version, and the acceptance of the change, without a line in the log.

--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/internal/logging"
+	"github.com/primrosebeam/primrosebeam/journal"
 	"github.com/primrosebeam/primrosebeam/ring"
 )
 
@@ -37,6 +40,7 @@
 	// shouldReplace decides whether an offered version replaces the current one. Tests replace it to show
 	// that they detect a missing check.
 	shouldReplace func(current, offered configuration.Version) bool
+	save          func(directory string, payload []byte) error // saveVersion, unless a test replaces it
 
 	// The fields below are owned by the worker.
 	replica     string // replica with the subscription; empty when none is reachable
@@ -66,6 +70,7 @@
 		control:       c,
 		ring:          ring.New[receivedAnnouncement](announcementQueueCapacity),
 		shouldReplace: func(current, offered configuration.Version) bool { return offered > current },
+		save:          saveVersion,
 	}
 }
 
@@ -194,7 +199,11 @@
 	if s.control.options.Directory == "" || payload == nil {
 		return
 	}
-	if err := saveVersion(s.control.options.Directory, payload); err != nil {
+	directory := s.control.options.Directory
+	err := journal.WatchSlow(journal.OperationWrite, filepath.Join(directory, fileName), logging.SlowDisk(s.control.options.Logger), func() error {
+		return s.save(directory, payload)
+	})
+	if err != nil {
 		s.control.metrics.fileFailures.Inc()
 		s.control.options.Logger.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration not saved; it is saved again when the subscription is renewed")
 		s.unsaved = payload
--- a/internal/control/subscriber_test.go
+++ b/internal/control/subscriber_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -10,8 +12,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/primrosebeam/primrosebeam/configuration"
+	"github.com/primrosebeam/primrosebeam/journal"
 )
 
 // withVersion puts a version in force before the worker starts, which then owns it.
@@ -207,3 +211,33 @@
 	f.Add(payload)
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _, _ = decodePayload(data) })
 }
+
+// TestSubscriberThatWaitsForItsDiskSaysSo guards against a version that takes force late, and a change that is accepted
+// late, because an instance waits for a stalled disk without a line in its log.
+func TestSubscriberThatWaitsForItsDiskSaysSo(t *testing.T) {
+	is := is.New(t)
+	const stall = 6 * time.Second
+	var log bytes.Buffer // is read after the node has stopped
+	is.NoErr(inSyntheticTime(t, func(t *testing.T, net *fakeNetwork) error {
+		node := net.start(t, []Peer{{"r-bern", "bern"}}, "slow", "bern", t.TempDir(), func(c *Control) {
+			c.options.Logger = zerolog.New(zerolog.SyncWriter(&log))
+			c.subscriber.save = func(string, []byte) error { time.Sleep(stall); return nil }
+		})
+		net.start(t, []Peer{{"r-bern", "bern"}}, "fresh", "bern", "", withVersion(5))
+		time.Sleep(30 * time.Second)
+		is.Equal(node.history(), []configuration.Version{5})
+		return nil
+	}))
+	var took []float64 // in milliseconds
+	for line := range bytes.Lines(log.Bytes()) {
+		var fields struct {
+			Operation, Path string
+			Took            float64
+		}
+		is.NoErr(json.Unmarshal(line, &fields))
+		if fields.Operation == string(journal.OperationWrite) && filepath.Base(fields.Path) == fileName {
+			took = append(took, fields.Took)
+		}
+	}
+	is.Equal(took, []float64{float64(journal.SlowAfter.Milliseconds()), float64(stall.Milliseconds())})
+}
--- a/journal/slow.go
+++ b/journal/slow.go
@@ -31,15 +31,15 @@
 	report func(SlowOperation)
 }
 
-// watch runs do and reports it if it is slow. The first report is made before the second.
-func (s *slowReporter) watch(operation Operation, path string, do func() error) error {
-	var mu sync.Mutex
+// WatchSlow runs an operation and reports it like ReportSlow if it is slow. It returns the error of the operation.
+func WatchSlow(operation Operation, path string, report func(SlowOperation), do func() error) error {
+	var mu sync.Mutex // makes the first report before the second
 	started, ended := time.Now(), false
 	timer := time.AfterFunc(SlowAfter, func() {
 		mu.Lock()
 		defer mu.Unlock()
 		if !ended {
-			s.report(SlowOperation{Operation: operation, Path: path, Took: time.Since(started)})
+			report(SlowOperation{Operation: operation, Path: path, Took: time.Since(started)})
 		}
 	})
 	err := do()
@@ -48,11 +48,15 @@
 	defer mu.Unlock()
 	ended = true
 	if took := time.Since(started); took >= SlowAfter {
-		s.report(SlowOperation{Operation: operation, Path: path, Took: took, Ended: true})
+		report(SlowOperation{Operation: operation, Path: path, Took: took, Ended: true})
 	}
 	return err
 }
 
+func (s *slowReporter) watch(operation Operation, path string, do func() error) error {
+	return WatchSlow(operation, path, s.report, do)
+}
+
 // MakeDirectory implements FileSystem.
 func (s *slowReporter) MakeDirectory(path string) error {
 	return s.watch(OperationCreate, path, func() error { return s.FileSystem.MakeDirectory(path) })
