A request that lost two engines is not sent to a third

An idempotent request that crashes engines ended three of them in one attempt, and two such attempts all six of a service, within 0.1 s.

Cause: a suspected request is not retried, but suspected was only what an allocator had reported. It needs the loss of each run and the sign that the engine has crashed; under load that took longer than the three sends.

A request that has lost two sends in a row without a response is suspected at once, as one whose losses the allocator knows is after two. A response in between, other than a refusal, ends the row.

TestRequestThatLostTwoEnginesIsNotRetried failed before: four sends, two wanted.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -58,6 +58,7 @@
 	cause         string        // cause of the most recent failed send
 	// connectionLost states whether the engine closed or reset the connection of the most recent send.
 	connectionLost bool
+	losses         int // sends in a row that ended so, without a response
 	// Of the most recent send: the header of a response to it has arrived, or the engine refused a connection, also
 	// one that replaced a kept connection.
 	responseBegun     bool
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -50,6 +50,7 @@
 			return
 		}
 		last := x.send(ctx, acquired)
+		x.countLoss(last)
 		acquired.end(x.outcomeOf(last), x.outputTokens())
 		if !x.shouldRetry(last) {
 			x.finish(last)
@@ -83,6 +84,20 @@
 	return placement.OutcomeFailed
 }
 
+// maxLosses is the number of sends in a row that a request may lose without a response. It is suspected to crash engines
+// then, as one whose losses the allocator knows.
+const maxLosses = 2
+
+// countLoss counts sends in a row that ended without a response because the engine closed or reset the connection.
+func (x *exchange) countLoss(last sendResult) {
+	switch {
+	case x.responseBegun && last != resultRefused:
+		x.losses = 0
+	case x.connectionLost:
+		x.losses++
+	}
+}
+
 // shouldRetry decides whether the request is sent to another engine. A request that an engine may have run
 // is retried only if its route allows it, and not if it is suspected to crash engines. A request that engines refused to
 // run may be sent to a few more.
@@ -102,7 +117,7 @@
 	case resultFailed, resultIncomplete:
 		begun := x.headerSent && !x.isStream()
 		unnumbered := x.eventsSent > 0 && x.lastEventID == 0
-		suspected := x.connectionLost && x.edge.placer.blocked.IsWatched(x.parts)
+		suspected := x.connectionLost && (x.losses >= maxLosses || x.edge.placer.blocked.IsWatched(x.parts))
 		if !x.route.Idempotent() || x.sends >= x.route.MaxAttempts || begun || unnumbered || suspected {
 			return false
 		}
--- a/internal/edge/run_test.go
+++ b/internal/edge/run_test.go
@@ -141,6 +141,61 @@
 	}
 }
 
+// Guards against a request that crashes three engines in one attempt, before the first crash is known elsewhere.
+func TestRequestThatLostTwoEnginesIsNotRetried(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answers string // of the engines in turn: r is a reset, h one after the header of a response, u a refusal, 5 status 500
+		sends   int
+	}{
+		{"crash of each engine", "rrrr", 2},
+		{"responses that break off", "hhhh", 4},
+		{"crashes after a refusal", "urrr", 3},
+		{"crashes before and after a failure", "r5rr", 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sends := 0
+			e := newTestEdge(t, func() net.Conn {
+				near, far := net.Pipe()
+				answer := test.answers[sends]
+				sends++
+				go func() {
+					defer far.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+						return
+					}
+					head := platform.HeaderAttempt + ": attempt\r\n" + platform.HeaderSignature + ": s\r\n"
+					switch answer {
+					case 'h':
+						fmt.Fprint(far, "HTTP/1.1 200 OK\r\n", head, "Content-Length: 100\r\n\r\n1")
+					case 'u':
+						fmt.Fprint(far, "HTTP/1.1 503 Full\r\n", head, platform.HeaderNotExecuted, ": 1\r\nContent-Length: 0\r\n\r\n")
+					case '5':
+						fmt.Fprint(far, "HTTP/1.1 500 Error\r\n", head, "Content-Length: 0\r\n\r\n")
+					}
+				}()
+				return near
+			})
+			defer e.pool.CloseIdle()
+			engines := []placement.Engine{}
+			for i := range 5 {
+				engines = append(engines, placement.Engine{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: 4})
+			}
+			e.balancer.SetEngines(engines)
+			for range 100 {
+				e.retries.addRequest(clock(), "s")
+			}
+			writer := httptest.NewRecorder()
+			x := newTestExchange(e, routing.KindIdempotent, writer, httptest.NewRequest(http.MethodPost, "http://host/path", nil))
+			x.route.MaxAttempts, x.deadline = 4, clock()+time.Minute
+			x.run()
+			is.Equal(sends, test.sends)
+			is.Equal(writer.Code, http.StatusBadGateway)
+		})
+	}
+}
+
 // TestSuspectedRequestIsNotRetried guards against a request that crashes one engine after the other in a single attempt
 // although engines have crashed with it before.
 func TestSuspectedRequestIsNotRetried(t *testing.T) {
