Record a crash once the runs that it lost are reported

All requests that share a part of their prompts with one that crashes engines could be blocked for two minutes, while that one was not.

Cause: an engine that accepts no connection counted as crashed at once, with the losses known so far. Where the instance with the request at fault reported its loss later than another one that of a sound request, three such crashes let block the parts that both had. The loss at fault came after the block and was explained by it.

A crash is not recorded while runs without a response, granted before the newest loss, are left at the engine, for at most 300 ms after that loss; instances report at least every 250 ms. The last report, the next connection refused or the end of its listing records it.

--- a/placement/core.go
+++ b/placement/core.go
@@ -377,7 +377,9 @@
 	case OutcomeUnreachable:
 		c.refund(r.Workspace, r.Charge)
 		e.recordUnreachable(now)
-		c.recordCrash(now, e)
+		if !e.awaitsLosses(now) {
+			c.recordCrash(now, e)
+		}
 	case OutcomeCancelled:
 	}
 }
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -17,6 +17,9 @@
 	lostAt    time.Duration
 }
 
+// lossReportTime is the time within which the instances report the runs that an engine has lost with its crash.
+const lossReportTime = 300 * time.Millisecond
+
 // losses holds the runs of an engine whose connections were lost, until it is known whether the engine has crashed.
 // A single lost connection does not show that: engines also reset single requests.
 type losses struct {
@@ -59,6 +62,15 @@
 // lostAll reports whether the connections of several runs were lost and none is left.
 func (e *engine) lostAll() bool { return e.losses.count > 1 && len(e.runs) == 0 }
 
+// awaitsLosses reports whether runs without a response may still be reported as lost with those that are known. One of
+// them may be at fault.
+func (e *engine) awaitsLosses(now time.Duration) bool {
+	if e.losses.count == 0 || now-e.losses.newest > lossReportTime {
+		return false
+	}
+	return slices.ContainsFunc(e.runs, func(r *trackedRequest) bool { return !r.started && r.grantedAt <= e.losses.newest })
+}
+
 // recordCrash records that an engine with lost connections has crashed, if it has any.
 func (c *Core) recordCrash(now time.Duration, e *engine) {
 	lost := e.losses
