Copy refusals in the soak, with clients that come back under one ID

Change: the engines of the stand-in can refuse requests and write copies of the refusals: with the refusal, some time later, at a later request on the connection, or when the refused request comes again on it; with a body, without a length, in pieces, after an interim response, several at once. The soak draws these by its seed all the while, and has clients that come back after refusals, some of them while the first try is under way. Each sending has a name of its own (X-Try), by which the runs are told apart. Checked are: each try runs at most once, and not at all if it was refused (now also with 408 and 421, for all clients); an order of a client that came back after refusals only runs at most once; no ID has more runs than tries that were not refused; the response is the whole one to that try; in a time without other faults no more requests fail than copies were written. The seeds of TestRegressions play without copies, as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,10 +35,10 @@
 	run   func(t *testing.T, seed uint64, duration time.Duration)
 	cause string
 }{
-	{211, runSeed, "the harness started a process twice when a kill overlapped with a planned stop of it"},
-	{5, runSeed, "the harness lost a second disk 6 s after the first, whose replica had not rejoined under further faults"},
+	{211, runFaults, "the harness started a process twice when a kill overlapped with a planned stop of it"},
+	{5, runFaults, "the harness lost a second disk 6 s after the first, whose replica had not rejoined under further faults"},
 	{4000, runDeadlyRequest, "each request that an engine lost after its crash counted as a crash, so that a sound request was blocked"},
-	{4001, runSeed, "an entry instance counted crashes while an allocator saw the responses in between"},
+	{4001, runFaults, "an entry instance counted crashes while an allocator saw the responses in between"},
 	{5009, runDeadlyRequest, "a sound request was blocked after a change of allocator, as in 5101"},
 	{5101, runDeadlyRequest, "a new allocator had seen the losses of a sound request only, not those of the one at fault"},
 	{5110, runDeadlyRequest, "a crash by a blocked request counted for a sound one"},
@@ -51,8 +51,8 @@
 	clientCount     = 12
 )
 
-// TestSoak guards against violated guarantees under kills, freezes, restarts, lost disks, and connections that
-// are delayed, reset, or stalled in one or both directions, in any order and at the same time.
+// TestSoak guards against violated guarantees under kills, freezes, restarts, lost disks, copies of refusals, and
+// connections that are delayed, reset, or stalled in one or both directions, in any order and at the same time.
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
 		runSeed(t, *seed+uint64(i), *duration)
@@ -68,17 +68,29 @@
 	}
 }
 
-// runSeed injects the faults of a seed for the given duration, and those of the other phases.
+// runSeed lets engines copy refusals while the faults of a seed are injected.
 func runSeed(t *testing.T, seed uint64, duration time.Duration) {
 	runPhases(t, seed, func(s *system, w *workload) {
-		injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
-		limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
-		refuseWrites(s, w, rand.New(rand.NewPCG(seed, 6)))
-		repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
-		injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
+		w.startOrders(rand.New(rand.NewPCG(seed, 7)))
+		copyRefusals(s, w)
+		injectAll(s, w, seed, duration)
 	})
 }
 
+// runFaults injects the faults of a seed without copies of refusals.
+func runFaults(t *testing.T, seed uint64, duration time.Duration) {
+	runPhases(t, seed, func(s *system, w *workload) { injectAll(s, w, seed, duration) })
+}
+
+// injectAll injects the faults of a seed for the given duration, and those of the other phases.
+func injectAll(s *system, w *workload, seed uint64, duration time.Duration) {
+	injectFaults(s, w, rand.New(rand.NewPCG(seed, 1)), duration)
+	limitRates(s, w, rand.New(rand.NewPCG(seed, 3)))
+	refuseWrites(s, w, rand.New(rand.NewPCG(seed, 6)))
+	repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4)))
+	injectHerds(s, w, rand.New(rand.NewPCG(seed, 2)))
+}
+
 // runDeadlyRequest repeats a request that crashes engines without other faults.
 func runDeadlyRequest(t *testing.T, seed uint64, _ time.Duration) {
 	runPhases(t, seed, func(s *system, w *workload) { repeatDeadlyRequest(s, w, rand.New(rand.NewPCG(seed, 4))) })
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -67,6 +67,7 @@
 	engineProxies  []*proxy // for connections between entry instances and engines
 	keyFile        string
 	pendingRepairs sync.WaitGroup // faults that are not repaired yet
+	refuse         func(*http.Request) *standin.Refusal
 }
 
 func newSystem(t *testing.T, folder string) *system {
@@ -185,6 +186,7 @@
 			continue // the address is still in use
 		}
 		started.SetDeadlyPath(e.DeadlyPath())
+		started.SetRefusals(s.refuse)
 		s.crashedEngines = append(s.crashedEngines, e)
 		s.engines[i], s.listed[i].ID = started, again.ID
 		listed = append(listed, s.listed[i])
--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -20,7 +20,12 @@
 	path   string
 	key    string
 	sent   time.Time
-	status int // 0 if the client received no complete response
+	status int    // 0 if the client received no complete response
+	try    string // sent with the request, and unlike the ID never again; empty for streams that are taken up
+}
+
+func (a *attempt) isNonIdempotent() bool {
+	return a.path == standin.NonIdempotentPath || a.path == standin.StreamPath
 }
 
 // workload acts as the clients and the operator, and checks what they and the engines observe.
@@ -40,6 +45,8 @@
 	keys     []string             // keys of the newest configuration
 	revoked  map[string]time.Time // removed keys with the time when the removal was acknowledged
 	lastID   int
+	lastTry  int
+	orders   []order
 	answered int
 	streams  [][]string // attempts of each stream that a client took up, in order
 	takenUp  int        // streams that are complete after a take-up
@@ -132,48 +139,56 @@
 // send sends a request and records the attempt. It checks that a response that looks complete is the complete
 // response to this request.
 func (w *workload) send(client *http.Client, p *process, path, key, id string) (int, error) {
-	a := attempt{id: id, path: path, key: key, sent: time.Now()}
-	status, body, err := w.roundTrip(client, p, &a)
+	a := w.newTry(path, id)
+	a.key = key
+	err := w.sendTry(client, p, &a)
+	return a.status, err
+}
+
+// sendTry sends an attempt that has a path, a key, an ID and a try, and records it with its status.
+func (w *workload) sendTry(client *http.Client, p *process, a *attempt) error {
+	status, body, signature, err := w.roundTrip(client, p, a)
 	if err == nil {
 		a.status = status
 	}
 	w.mu.Lock()
-	w.attempts = append(w.attempts, a)
+	w.attempts = append(w.attempts, *a)
 	w.mu.Unlock()
 	if err != nil || status != http.StatusOK {
-		return status, err
+		return err
 	}
-	want := standin.Response(id)
-	if path == standin.StreamPath || path == standin.ResumePath {
+	want := standin.Response(a.id)
+	if a.path == standin.StreamPath || a.path == standin.ResumePath {
 		want = ""
 		for number := 1; number <= streamEvents; number++ {
-			want += standin.Event(id, number)
+			want += standin.Event(a.id, number)
 		}
 	}
-	if body != want {
-		w.t.Errorf("%s on %s: %q is not the complete response to the request", id, path, body)
+	if body != want || !strings.HasSuffix(signature, "/"+a.try) {
+		w.t.Errorf("%s on %s: %q, signed %q, is not the complete response to %s", a.id, a.path, body, signature, a.try)
 	}
-	return status, nil
+	return nil
 }
 
-func (w *workload) roundTrip(client *http.Client, p *process, a *attempt) (status int, body string, err error) {
+func (w *workload) roundTrip(client *http.Client, p *process, a *attempt) (status int, body, signature string, err error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Callers+a.path+"x", strings.NewReader("body"))
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
-	r.GetBody = nil // Each attempt has its own ID, so the HTTP client must not retry it.
+	r.GetBody = nil // The HTTP client must not retry by itself.
 	r.Host = standin.Host
 	r.Header.Set(platform.HeaderAttempt, a.id)
+	r.Header.Set(standin.HeaderTry, a.try)
 	r.Header.Set(platform.HeaderAPIKey, a.key)
 	r.Header.Set(platform.HeaderDeadline, "4000")
 	r.Header.Set(platform.HeaderTokenCounts, "50,50")
 	response, err := client.Do(r)
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(data), err
+	return response.StatusCode, string(data), response.Header.Get(platform.HeaderSignature), err
 }
 
 // furtherRoutes returns the number of further routes of a configuration: up to 6,000, so that some configurations
@@ -256,8 +271,9 @@
 func (w *workload) summary() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return fmt.Sprintf("%d requests, %d answered, %d streams taken up, configuration %d acknowledged",
-		len(w.attempts), w.answered, w.takenUp, w.acked)
+	counts := w.system.copyCounts()
+	return fmt.Sprintf("%d requests, %d answered, %d streams taken up, %d orders, %d copies of refusals, %d returns to a connection, %d connections to engines, configuration %d acknowledged",
+		len(w.attempts), w.answered, w.takenUp, len(w.orders), counts.Copies, counts.Returns, counts.Connections, w.acked)
 }
 
 // stopAndCheck stops the load and checks the responses that the clients received against the runs of the
@@ -274,6 +290,9 @@
 	for _, e := range append(append([]*standin.Engine{}, w.system.engines...), w.system.crashedEngines...) {
 		for _, r := range e.Runs() {
 			runs[r.Attempt]++
+			if try := r.Header.Get(standin.HeaderTry); try != "" {
+				runs[try]++
+			}
 			versioned[r.Attempt] = append(versioned[r.Attempt], versionedRun{e.Version, r.FromEvent})
 		}
 	}
@@ -286,15 +305,17 @@
 		w.t.Error("no stream was complete after a client had taken it up")
 	}
 	w.checkVersions(versioned)
+	w.checkOrders(runs)
 	for _, a := range w.attempts {
 		count := runs[a.id]
-		nonIdempotent := a.path == standin.NonIdempotentPath || a.path == standin.StreamPath
-		if nonIdempotent && count > 1 {
-			w.t.Errorf("%s on %s ran %d times", a.id, a.path, count)
+		if strings.HasPrefix(a.id, orderPrefix) { // several tries may have one ID, see checkOrders
+			count = runs[a.try]
+		}
+		if a.isNonIdempotent() && count > 1 {
+			w.t.Errorf("%s (%s) on %s ran %d times", a.id, a.try, a.path, count)
 		}
-		refused := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
-		if nonIdempotent && refused && count > 0 {
-			w.t.Errorf("%s on %s was refused with status %d but ran", a.id, a.path, a.status)
+		if a.isNonIdempotent() && platform.PromisesNotExecuted(a.status) && count > 0 {
+			w.t.Errorf("%s (%s) on %s was refused with status %d but ran", a.id, a.try, a.path, a.status)
 		}
 		if revokedAt, isRevoked := w.revoked[a.key]; isRevoked && count > 0 && a.sent.After(revokedAt.Add(platform.DefaultBounds().RevocationTimeout+revocationTolerance)) {
 			w.t.Errorf("%s was sent %v after its key was revoked and ran", a.id, a.sent.Sub(revokedAt))
