Read the configuration back in the soak until an instance answers

Five of 57 runs of the soak failed at their end: "configuration N was acknowledged, but the newest one left is 0". The logs of four show that all control instances had been killed in the last phase, and that the only reading back came 0.7 to 2.6 s after their start, when none knew a leader: they answered 503, which breaks no rule. The soak without copies of refusals failed alike.

The soak now reads back until an instance answers, for at most the 15 s that all else has to recover; what is read back is checked as before, and an older configuration fails at once.

--- a/soak/workload_test.go
+++ b/soak/workload_test.go
@@ -282,7 +282,13 @@
 	close(w.stop)
 	w.clientLoops.Wait()
 	time.Sleep(time.Second) // Requests that are still on their way to an engine may run.
-	if newest := w.readBack(&http.Client{Timeout: requestTimeout}); newest < w.acked {
+	// An instance that knows no leader yet answers 503.
+	newest, client := 0, &http.Client{Timeout: requestTimeout}
+	w.waitFor("the configuration", recoveryTimeout, func() bool {
+		newest = w.readBack(client)
+		return newest > 0
+	})
+	if newest < w.acked {
 		w.t.Errorf("configuration %d was acknowledged, but the newest one left is %d", w.acked, newest)
 	}
 	runs := map[string]int{}
